--- /dev/null
+++ b/capacity/doc.go
@@ -0,0 +1,1 @@
+package capacity
--- /dev/null
+++ b/cmd/marjoramshore/main.go
@@ -0,0 +1,4 @@
+// Command marjoramshore is the router's one binary.
+package main
+
+func main() {}
