--- /dev/null
+++ b/ownership/messages.go
@@ -0,0 +1,295 @@
+package ownership
+
+import (
+	"time"
+
+	"marjoramshore.example/core"
+)
+
+// Run names one run of a node. A node that restarts is a different Run.
+type Run struct {
+	Node        core.NodeID
+	Incarnation core.Incarnation
+}
+
+// RunOf returns the Run of m.
+func RunOf(m core.Member) Run { return Run{Node: m.Node, Incarnation: m.Incarnation} }
+
+// Message is one message between nodes of a group. The set is closed; every
+// message type of this file implements it.
+type Message interface{ message() }
+
+// Renew asks the coordinator, or a successor that acts for it, to renew the
+// sender's lease. It is sent once per heartbeat interval. Join and Claim are
+// absent in steady state, which keeps the datagram small.
+type Renew struct {
+	Group core.GroupID
+	From  Run
+	// Term is the newest term that the sender knows.
+	Term uint64
+	// Seq counts the sender's renewals; the answer repeats it.
+	Seq uint64
+	// Table is the version of the sender's table; zero when it has none.
+	Table core.Token
+	// Revision is the configuration revision in force at the sender.
+	Revision core.Revision
+	// Draining asks the coordinator to move the sender's ranges away.
+	Draining bool
+	// Leaving tells that the sender holds no range, serves nothing and leaves.
+	Leaving bool
+	// Join describes a sender that is not yet a member.
+	Join *core.Member
+	// Claim is set while the sender's lease stems from an earlier term than
+	// that of the receiver.
+	Claim *Claim
+}
+
+// Claim states which ranges the sender holds under an unexpired lease.
+type Claim struct {
+	// Term is the term in which the lease was granted.
+	Term   uint64
+	Ranges []HeldRange
+}
+
+// HeldRange is one range with the token under which it is held.
+type HeldRange struct {
+	Range core.Range
+	Token core.Token
+}
+
+// Verdict says how the receiver of a Renew or a promise request decided.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Granted: the lease or promise is given.
+	Granted Verdict = iota + 1
+	// RefusedRevision: the sender's configuration revision is behind.
+	RefusedRevision
+	// RefusedNotCoordinator: the receiver does not coordinate the group;
+	// Coordinator tells who does, when known.
+	RefusedNotCoordinator
+	// RefusedNoAuthority: the coordinator has no authority at the moment.
+	RefusedNoAuthority
+	// RefusedClaimNeeded: the receiver needs Renew.Claim or Renew.Join.
+	RefusedClaimNeeded
+	// RefusedTerm: the sender's term or record version is outdated.
+	RefusedTerm
+	// RefusedTakeover: a takeover write of the receiver is not resolved yet.
+	RefusedTakeover
+	// RefusedActing: a promise of the receiver excludes the request.
+	RefusedActing
+	// RefusedUnknownMember: the receiver's group has no room for the sender.
+	RefusedUnknownMember
+)
+
+// RenewAnswer answers one Renew. With Granted, the sender of the Renew holds a
+// lease of Timing.Member, counted from when it sent the Renew, for its ranges
+// in the table of version Table.
+type RenewAnswer struct {
+	Group   core.GroupID
+	From    Run
+	To      Run
+	Term    uint64
+	Seq     uint64
+	Verdict Verdict
+	// Acting is set by a successor that acts for a lost coordinator. Such an
+	// answer extends an unexpired lease and changes no range.
+	Acting bool
+	// Table is the table version that the lease refers to.
+	Table core.Token
+	// NewTable is set when the Renew named another version. An answer with a
+	// table exceeds a datagram and needs a stream transport.
+	NewTable *core.Table
+	// Revision is the coordinator's configuration revision.
+	Revision core.Revision
+	// DrainAccepted tells a draining member that its drain has begun.
+	DrainAccepted bool
+	// Removed tells a leaving member that it is no longer in the group.
+	Removed bool
+	// Coordinator is set with RefusedNotCoordinator when known.
+	Coordinator *core.Member
+}
+
+// TablePush gives a member a newer table under the lease that it holds. It
+// does not extend the lease. It needs a stream transport.
+type TablePush struct {
+	Group core.GroupID
+	From  Run
+	Term  uint64
+	Table *core.Table
+}
+
+// PromiseRequest asks a successor not to take over for Timing.Promise. The
+// coordinator sends it once per heartbeat interval.
+type PromiseRequest struct {
+	Group core.GroupID
+	From  Run
+	To    Run
+	Term  uint64
+	Seq   uint64
+	// Version is the store version of the newest confirmed group record.
+	Version uint64
+	// Revision is the coordinator's configuration revision.
+	Revision core.Revision
+	// Record is set until the successor has acknowledged Version; it then
+	// needs a stream transport. It is what activates a new successor.
+	Record *GroupRecord
+}
+
+// PromiseAnswer answers a PromiseRequest.
+type PromiseAnswer struct {
+	Group   core.GroupID
+	From    Run
+	Term    uint64
+	Seq     uint64
+	Verdict Verdict
+	// MayReassign is false while leases may exist that an acting successor
+	// renewed. The coordinator then renews leases but reassigns nothing.
+	MayReassign bool
+	// Version acknowledges the newest group record that the sender knows.
+	Version uint64
+}
+
+// ActingRequest asks the other successor for its promise that the sender may
+// act for the lost coordinator while the store is down.
+type ActingRequest struct {
+	Group core.GroupID
+	From  Run
+	To    Run
+	Term  uint64
+	Seq   uint64
+	// Version is the store version of the group record that names both.
+	Version uint64
+}
+
+// ActingAnswer answers an ActingRequest.
+type ActingAnswer struct {
+	Group   core.GroupID
+	From    Run
+	Term    uint64
+	Seq     uint64
+	Verdict Verdict
+}
+
+// TermNotice tells a member to send its renewals to From: the coordinator of a
+// new term, or a successor that acts in the present term.
+type TermNotice struct {
+	Group  core.GroupID
+	From   core.Member
+	Term   uint64
+	Acting bool
+}
+
+// StepDown tells a successor that the coordinator gives up its authority for
+// good, so that the successor takes over without waiting.
+type StepDown struct {
+	Group   core.GroupID
+	From    Run
+	Term    uint64
+	Version uint64
+}
+
+// MoveStop asks the owner of Range to stop admitting new work for it, to hand
+// over its at-most-once records to To, and then to release it. It is repeated
+// until MoveReleased or MoveFailed arrives.
+type MoveStop struct {
+	Group core.GroupID
+	From  Run
+	Term  uint64
+	// Move identifies the move within the term.
+	Move  uint64
+	Range core.Range
+	// Token is the token under which the receiver owns Range.
+	Token core.Token
+	To    core.Member
+}
+
+// MoveReleased tells the coordinator that the sender no longer serves Range,
+// except for the single hashes in Keep, whose uploads are still in flight.
+type MoveReleased struct {
+	Group core.GroupID
+	From  Run
+	Term  uint64
+	Move  uint64
+	Range core.Range
+	Keep  []core.Hash
+}
+
+// MoveFailed tells the coordinator that the hand-over did not complete and
+// that the sender continues to serve the range.
+type MoveFailed struct {
+	Group core.GroupID
+	From  Run
+	Term  uint64
+	Move  uint64
+}
+
+// MoveRequest asks the coordinator to move Range to To. Any member may send
+// it; placement decides, the coordinator carries it out.
+type MoveRequest struct {
+	Group core.GroupID
+	From  Run
+	Term  uint64
+	Range core.Range
+	To    Run
+}
+
+func (*Renew) message()          {}
+func (*RenewAnswer) message()    {}
+func (*TablePush) message()      {}
+func (*PromiseRequest) message() {}
+func (*PromiseAnswer) message()  {}
+func (*ActingRequest) message()  {}
+func (*ActingAnswer) message()   {}
+func (*TermNotice) message()     {}
+func (*StepDown) message()       {}
+func (*MoveStop) message()       {}
+func (*MoveReleased) message()   {}
+func (*MoveFailed) message()     {}
+func (*MoveRequest) message()    {}
+
+// GroupRecord is the group object in the platform's store, encoded as JSON.
+// Every change is a conditional update on the object's version.
+type GroupRecord struct {
+	Term        uint64 `json:"term"`
+	Coordinator Run    `json:"coordinator"`
+	// Successors are the members that may take over, at most two.
+	Successors []Run `json:"successors,omitempty"`
+	// Table holds the members and the assignment.
+	Table core.Table `json:"table"`
+	// Draining names the members whose drain was accepted.
+	Draining []Run `json:"draining,omitempty"`
+	// Writer and Nonce identify the write, so that a writer that lost the
+	// answer recognises its own record.
+	Writer Run    `json:"writer"`
+	Nonce  uint64 `json:"nonce"`
+	// WrittenAtMs is the writer's wall time, for people only.
+	WrittenAtMs int64 `json:"written_at_ms,omitempty"`
+}
+
+// Timing holds the durations of the lease protocol.
+type Timing struct {
+	// Heartbeat (H) is the interval of renewals and promise requests.
+	Heartbeat time.Duration
+	// Promise (P) is how long a successor promises not to take over.
+	Promise time.Duration
+	// Member (M) is the length of a member lease.
+	Member time.Duration
+	// Term (L) is how long a confirmed write of the record gives authority.
+	Term time.Duration
+	// DriftPPM (D) bounds how much the rates of two clocks differ.
+	DriftPPM int64
+	// StoreWait is how long the coordinator waits for a write before it
+	// treats the store as unavailable.
+	StoreWait time.Duration
+	// Acting is the longest time that a successor acts.
+	Acting time.Duration
+	// Orphan is the longest time that authority rests on promises without a
+	// confirmed write. After it, any member may take over.
+	Orphan time.Duration
+	// Stop is when a draining member stops admitting new work.
+	Stop time.Duration
+	// HandOver bounds the hand-over step of a planned move.
+	HandOver time.Duration
+}
--- /dev/null
+++ b/ownership/timing.go
@@ -0,0 +1,48 @@
+package ownership
+
+import (
+	"time"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+)
+
+// DefaultTiming returns the durations of the design.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat: 600 * time.Millisecond,
+		Promise:   1500 * time.Millisecond,
+		Member:    2700 * time.Millisecond,
+		Term:      1500 * time.Millisecond,
+		DriftPPM:  clock.MaxDriftPPM,
+		StoreWait: 500 * time.Millisecond,
+		Acting:    time.Hour,
+		Orphan:    3 * time.Hour,
+		Stop:      2 * time.Second,
+		HandOver:  time.Second,
+	}
+}
+
+// Validate reports durations with which leases would lapse in normal operation
+// or with which the safety argument does not hold.
+func (t Timing) Validate() error {
+	switch {
+	case t.Heartbeat <= 0 || t.StoreWait <= 0 || t.HandOver <= 0 || t.Stop <= 0:
+		return core.Fail(core.CodeInvalid, "timing: durations must be positive")
+	case t.Promise < 2*t.Heartbeat || t.Term < 2*t.Heartbeat:
+		return core.Fail(core.CodeInvalid, "timing: promise and term lease need room for one lost heartbeat")
+	case t.Member < t.Promise+t.Heartbeat:
+		return core.Fail(core.CodeInvalid, "timing: member lease must outlast a takeover")
+	case t.DriftPPM < 0 || t.DriftPPM > 100_000:
+		return core.Fail(core.CodeInvalid, "timing: drift bound out of range")
+	case t.Acting < t.Member || t.Orphan < 2*t.Acting:
+		return core.Fail(core.CodeInvalid, "timing: acting and orphan limits too short")
+	}
+	return nil
+}
+
+// stretch lengthens d so that a peer with the slowest permitted clock has also
+// counted d. The nanosecond covers integer rounding.
+func (t Timing) stretch(d time.Duration) time.Duration {
+	return d + time.Duration(int64(d)*t.DriftPPM/1_000_000) + 1
+}
