Add the backend server stand-in

Tests, the demo and the load generator need a backend server that can be made slow, cold, frozen, crashed or misleading, and that shows second runs.

It keeps slots, connections and a bounded inner queue, checks fencing tokens per range when configured to, and records every run by request id and by idempotency key across crashes.

--- /dev/null
+++ b/standin/backend/backend_test.go
@@ -0,0 +1,179 @@
+package backend
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func call(s *Server, path, body string, header ...string) (w *httptest.ResponseRecorder, aborted bool) {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w = httptest.NewRecorder()
+	defer func() { aborted = recover() != nil }()
+	s.ServeHTTP(w, r)
+	return w, false
+}
+
+// Guards against an echo that hides a lost or changed part of an upload.
+func TestEchoesDigestAndLength(t *testing.T) {
+	s := New(Config{Service: "raportit"})
+	must.NoError(t, s.Start("127.0.0.1:0"))
+	defer s.Close()
+	body := strings.Repeat("hinta", 100_000)
+	resp, err := http.Post("http://"+s.Addr()+"/upload/1", "", strings.NewReader(body))
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var e Echo
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&e))
+	sum := sha256.Sum256([]byte(body))
+	must.Eq(t, int64(len(body)), e.Length)
+	must.Eq(t, hex.EncodeToString(sum[:]), e.Digest)
+}
+
+// Guards against second runs that the records do not show.
+func TestCountsSecondRuns(t *testing.T) {
+	s := New(Config{})
+	for _, id := range []string{"a", "b", "b"} {
+		call(s, "/short", "", HeaderRequestID, id, HeaderCustomer, "c", HeaderIdemKey, "k")
+	}
+	must.Eq(t, 2, s.Stats().SecondRuns)
+	must.Eq(t, 1, s.Stats().SecondIDs)
+	must.Eq(t, Run{Received: 2, Started: 2, Completed: 2}, s.RunOf("b"))
+	must.Eq(t, 3, s.RunOfIdempotencyKey("c", "k").Started)
+}
+
+// Guards against a server that accepts an order older than one it has seen,
+// and against one that rejects tokens of another range.
+func TestFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		s := New(Config{ChecksTokens: checks})
+		status := func(key, token, rng string) int {
+			w, _ := call(s, "/short", "", HeaderKey, key, HeaderToken, token, HeaderRange, rng)
+			return w.Code
+		}
+		stale := map[bool]int{true: http.StatusConflict, false: http.StatusOK}[checks]
+		must.Eq(t, http.StatusOK, status("k", "2.7", "0-ffffffffffffffff"))
+		must.Eq(t, stale, status("k", "2.6", ""))
+		must.Eq(t, stale, status("other", "1.9", ""))
+		must.Eq(t, http.StatusOK, status("k", "3.0", ""))
+		must.Eq(t, stale, status("k", "2.9", ""))
+		must.Eq(t, http.StatusOK, status("other", "2.9", ""))
+	}
+}
+
+// Guards against more running requests than slots and an unbounded queue.
+func TestSlotsAndQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Slots: 2, Queue: 3})
+		var wg sync.WaitGroup
+		start := time.Now()
+		for range 6 {
+			wg.Go(func() { call(s, "/x", "", HeaderWork, "10") })
+			synctest.Wait()
+		}
+		wg.Wait()
+		st := s.Stats()
+		must.Eq(t, 2, st.PeakInFlight)
+		must.Eq(t, 1, st.Shed)
+		must.Eq(t, 5, st.Completed)
+		must.Eq(t, 30*time.Millisecond, time.Since(start))
+	})
+}
+
+// Guards against a frozen server that still answers, and one that loses the
+// requests it held when it resumes.
+func TestFreezeAndThaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		done := make(chan int, 1)
+		go func() {
+			w, _ := call(s, "/x", "", HeaderWork, "10")
+			done <- w.Code
+		}()
+		synctest.Wait()
+		s.Freeze()
+		time.Sleep(time.Minute)
+		must.Eq(t, 0, len(done))
+		s.Thaw()
+		must.Eq(t, http.StatusOK, <-done)
+	})
+}
+
+// Guards against a crash that answers requests, or that forgets their runs.
+func TestPoisonCrashesAndRestartIsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{ColdFor: time.Second, ColdFactor: 11, Times: []PathTime{{"/", Dist{Median: 10 * time.Millisecond}}}})
+		time.Sleep(time.Second)
+		other := make(chan bool, 1)
+		go func() { _, aborted := call(s, "/long", "", HeaderRequestID, "other"); other <- aborted }()
+		synctest.Wait()
+		_, aborted := call(s, "/poison", "", HeaderRequestID, "p")
+		must.True(t, aborted)
+		must.True(t, <-other)
+		must.False(t, s.Alive())
+		must.Eq(t, Run{Received: 1, Started: 1}, s.RunOf("p"))
+		must.NoError(t, s.Restart())
+		start := time.Now()
+		call(s, "/", "")
+		must.Eq(t, 110*time.Millisecond, time.Since(start))
+		time.Sleep(time.Second)
+		start = time.Now()
+		call(s, "/", "")
+		must.Eq(t, 10*time.Millisecond, time.Since(start))
+	})
+}
+
+// Guards against a crash that leaves connections open.
+func TestCrashDropsConnectionsAndRestartsAtSameAddress(t *testing.T) {
+	s := New(Config{})
+	must.NoError(t, s.Start("127.0.0.1:0"))
+	defer s.Close()
+	_, err := http.Get("http://" + s.Addr() + "/poison")
+	must.Error(t, err)
+	must.NoError(t, s.Restart())
+	resp, err := http.Get("http://" + s.Addr() + "/healthz")
+	must.NoError(t, err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+}
+
+// Guards against reports that cannot mislead: a router must be tested with a
+// late and a false load report.
+func TestLoadLagsAndLies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{LoadLag: time.Second, DistortLoad: func(l Load) Load { l.Queued = 99; return l }})
+		must.Eq(t, Load{Slots: 17, Queued: 99}, s.currentLoad())
+		go call(s, "/x", "", HeaderWork, "5000")
+		synctest.Wait()
+		must.Eq(t, 0, s.currentLoad().InFlight)
+		time.Sleep(time.Second)
+		must.Eq(t, 1, s.currentLoad().InFlight)
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against new work during a drain.
+func TestDrain(t *testing.T) {
+	s := New(Config{})
+	s.SetDraining(true)
+	w, _ := call(s, "/short", "")
+	must.Eq(t, http.StatusServiceUnavailable, w.Code)
+	must.Eq(t, 0, s.Stats().Started)
+	s.SetDraining(false)
+	w, _ = call(s, "/short", "")
+	must.Eq(t, http.StatusOK, w.Code)
+}
