Add the platform store stand-in

Ownership and configuration have to be tested against a store that is slow, down, or loses the answer to a write that took effect.

Platform keeps versioned objects in memory, implements store.Store, serves a JSON protocol over HTTP and counts calls by kind. Views give each client its own faults.

--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,232 @@
+// Package platform is a stand-in for the platform's object store. It keeps
+// objects in memory, implements store.Store, serves the HTTP protocol that
+// package storehttp speaks, injects faults and counts calls by kind.
+package platform
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"marjoramshore.example/store"
+)
+
+// Platform is one object store. Its own faults apply to every call.
+type Platform struct {
+	*injector
+	seed uint64
+
+	dataMu  sync.Mutex
+	objects map[string]object
+	waiters map[string]chan struct{} // closed when the key changes
+	views   uint64
+}
+
+type object struct {
+	version  uint64
+	value    []byte
+	exists   bool
+	previous *store.Object // what a stale read returns
+}
+
+// New returns an empty store; seed decides the drawn faults.
+func New(seed uint64) *Platform {
+	return &Platform{
+		injector: newInjector(seed, 0), seed: seed,
+		objects: map[string]object{}, waiters: map[string]chan struct{}{},
+	}
+}
+
+// View is one client's path to the store, with faults and counts of its own on
+// top of those of the Platform.
+type View struct {
+	*injector
+	p *Platform
+}
+
+var (
+	_ store.Store = (*Platform)(nil)
+	_ store.Store = (*View)(nil)
+)
+
+// View returns a new path to the store.
+func (p *Platform) View() *View {
+	p.dataMu.Lock()
+	defer p.dataMu.Unlock()
+	p.views++
+	return &View{injector: newInjector(p.seed, p.views), p: p}
+}
+
+// Get implements store.Store.
+func (p *Platform) Get(ctx context.Context, key string) (o store.Object, err error) {
+	err = p.begin(func(c *Calls) { c.Get++ }, false).read(ctx, key, func(stale bool) error {
+		o, err = p.get(key, stale)
+		return err
+	})
+	return o, err
+}
+
+// Put implements store.Store.
+func (p *Platform) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	var version uint64
+	err := p.begin(func(c *Calls) { c.Put++ }, true).write(ctx, key, func(context.Context) (err error) {
+		version, err = p.put(key, value, ifVersion)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return version, nil
+}
+
+// Delete implements store.Store.
+func (p *Platform) Delete(ctx context.Context, key string, ifVersion uint64) error {
+	return p.begin(func(c *Calls) { c.Delete++ }, true).write(ctx, key, func(context.Context) error {
+		return p.remove(key, ifVersion)
+	})
+}
+
+// List implements store.Store.
+func (p *Platform) List(ctx context.Context, prefix string) (list []store.Object, err error) {
+	err = p.begin(func(c *Calls) { c.List++ }, false).read(ctx, prefix, func(stale bool) error {
+		list = p.list(prefix, stale)
+		return nil
+	})
+	return list, err
+}
+
+// Watch implements store.Store.
+func (p *Platform) Watch(ctx context.Context, key string, after uint64) (o store.Object, err error) {
+	c := p.begin(func(c *Calls) { c.Watch++ }, false)
+	if err := c.admit(ctx, key, false); err != nil {
+		return o, err
+	}
+	for {
+		o, changed, err := p.poll(key, after)
+		if changed == nil {
+			if perr := pause(ctx, c.latency); perr != nil {
+				return store.Object{}, unavailable(key, false, perr)
+			}
+			return o, err
+		}
+		select {
+		case <-changed:
+		case <-c.moved:
+			// A watch that was waiting when an outage began fails with it.
+			c = p.begin(func(*Calls) {}, false)
+			if err := c.admit(ctx, key, false); err != nil {
+				return o, err
+			}
+		case <-ctx.Done():
+			return o, unavailable(key, false, ctx.Err())
+		}
+	}
+}
+
+func notFound(key string) error { return &store.Error{Kind: store.KindNotFound, Key: key} }
+
+func (p *Platform) get(key string, stale bool) (store.Object, error) {
+	p.dataMu.Lock()
+	defer p.dataMu.Unlock()
+	o := p.objects[key]
+	if stale && o.previous != nil {
+		return *o.previous, nil
+	}
+	if !o.exists {
+		return store.Object{}, notFound(key)
+	}
+	return store.Object{Key: key, Version: o.version, Value: o.value}, nil
+}
+
+func (p *Platform) put(key string, value []byte, ifVersion uint64) (uint64, error) {
+	switch {
+	case key == "":
+		return 0, &store.Error{Kind: store.KindInvalid, Key: key}
+	case len(value) > store.MaxValue:
+		return 0, &store.Error{Kind: store.KindTooLarge, Key: key}
+	}
+	p.dataMu.Lock()
+	defer p.dataMu.Unlock()
+	o := p.objects[key]
+	if current := o.current(); current != ifVersion {
+		return 0, &store.Error{Kind: store.KindConflict, Key: key, Current: current}
+	}
+	p.change(key, o, object{value: append([]byte{}, value...), exists: true})
+	return o.version + 1, nil
+}
+
+func (p *Platform) remove(key string, ifVersion uint64) error {
+	p.dataMu.Lock()
+	defer p.dataMu.Unlock()
+	o := p.objects[key]
+	switch current := o.current(); {
+	case current == 0:
+		return notFound(key)
+	case current != ifVersion:
+		return &store.Error{Kind: store.KindConflict, Key: key, Current: current}
+	}
+	p.change(key, o, object{})
+	return nil
+}
+
+// change stores to with the next version. A removed key keeps its version, so
+// that versions only grow when it is created again.
+func (p *Platform) change(key string, from, to object) {
+	to.version = from.version + 1
+	if !to.exists {
+		to.version = from.version
+	}
+	if from.exists {
+		to.previous = &store.Object{Key: key, Version: from.version, Value: from.value}
+	}
+	p.objects[key] = to
+	if w, ok := p.waiters[key]; ok {
+		close(w)
+		delete(p.waiters, key)
+	}
+}
+
+// current is the version that a conditional update must name.
+func (o object) current() uint64 {
+	if !o.exists {
+		return 0
+	}
+	return o.version
+}
+
+func (p *Platform) list(prefix string, stale bool) []store.Object {
+	p.dataMu.Lock()
+	defer p.dataMu.Unlock()
+	var out []store.Object
+	for key, o := range p.objects {
+		switch {
+		case !strings.HasPrefix(key, prefix):
+		case stale && o.previous != nil:
+			out = append(out, *o.previous)
+		case o.exists:
+			out = append(out, store.Object{Key: key, Version: o.version, Value: o.value})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	return out
+}
+
+// poll returns the answer to a watch, or the channel that ends its wait.
+func (p *Platform) poll(key string, after uint64) (store.Object, <-chan struct{}, error) {
+	p.dataMu.Lock()
+	defer p.dataMu.Unlock()
+	o := p.objects[key]
+	if o.exists && o.version > after {
+		return store.Object{Key: key, Version: o.version, Value: o.value}, nil, nil
+	}
+	if !o.exists && after > 0 {
+		return store.Object{}, nil, notFound(key)
+	}
+	w, ok := p.waiters[key]
+	if !ok {
+		w = make(chan struct{})
+		p.waiters[key] = w
+	}
+	return store.Object{}, w, nil
+}
