--- a/ownership/messages.go
+++ b/ownership/messages.go
@@ -35,6 +35,8 @@
 	Revision core.Revision
 	// Draining asks the coordinator to move the sender's ranges away.
 	Draining bool
+	// Stopping tells that the drain cannot be put off by the drain cap.
+	Stopping bool
 	// Leaving tells that the sender holds no range, serves nothing and leaves.
 	Leaving bool
 	// Join describes a sender that is not yet a member.
@@ -133,8 +135,11 @@
 	// Revision is the coordinator's configuration revision.
 	Revision core.Revision
 	// Record is set until the successor has acknowledged Version; it then
-	// needs a stream transport. It is what activates a new successor.
+	// needs a stream transport.
 	Record *GroupRecord
+	// Active tells a successor that GroupRecord.Pending no longer holds it
+	// back, because the other successor has acknowledged the record.
+	Active bool
 }
 
 // PromiseAnswer answers a PromiseRequest.
@@ -213,6 +218,9 @@
 	Term  uint64
 	Move  uint64
 	Range core.Range
+	// Token is the token of the released assignment. The sender never again
+	// serves Range under this token or an older one.
+	Token core.Token
 	Keep  []core.Hash
 }
 
@@ -256,6 +264,9 @@
 	Coordinator Run    `json:"coordinator"`
 	// Successors are the members that may take over, at most two.
 	Successors []Run `json:"successors,omitempty"`
+	// Pending is the successor that may not take over yet, because the other
+	// successor may still act together with the one that was replaced.
+	Pending Run `json:"pending"`
 	// Table holds the members and the assignment.
 	Table core.Table `json:"table"`
 	// Draining names the members whose drain was accepted.
--- /dev/null
+++ b/ownership/snapshot.go
@@ -0,0 +1,73 @@
+package ownership
+
+import (
+	"slices"
+	"sort"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+)
+
+// Reason says why a node serves or does not serve.
+type Reason string
+
+// Reasons.
+const (
+	ReasonServing  Reason = "serving"
+	ReasonNoLease  Reason = "no-lease"
+	ReasonDraining Reason = "draining"
+	ReasonLeft     Reason = "left"
+)
+
+// Snapshot is what the gate and the router read. It is immutable.
+type Snapshot struct {
+	Group core.GroupID
+	// Term and Coordinator are the newest known ones; Coordinator may be zero.
+	Term        uint64
+	Coordinator core.Member
+	// Table is the newest table that this node holds, or nil.
+	Table *core.Table
+	// Own lists the ranges that the node serves until LeaseEnd, ordered.
+	Own []HeldRange
+	// Moving lists own ranges that wait for a hand-over; their requests wait.
+	Moving   []core.Range
+	LeaseEnd clock.Instant
+	Reason   Reason
+	// Coordinates reports whether this node coordinates the group, and
+	// Authority until when it may grant leases.
+	Coordinates bool
+	Authority   clock.Instant
+	// Unwritten reports that the coordinator granted an assignment that is not
+	// in the store yet.
+	Unwritten bool
+	// WantRevision is the newest configuration revision that the coordinator
+	// named; a node that is behind it loses its lease.
+	WantRevision core.Revision
+}
+
+// Check decides whether the node may forward a request for h at now. A zero
+// code permits it, under the returned token and until LeaseEnd.
+func (s *Snapshot) Check(now clock.Instant, h core.Hash) (core.Token, core.Code) {
+	if s.Reason == ReasonDraining || s.Reason == ReasonLeft {
+		return core.Token{}, core.CodeDraining
+	}
+	i := sort.Search(len(s.Own), func(i int) bool { return s.Own[i].Range.Hi >= h })
+	if i == len(s.Own) || !s.Own[i].Range.Contains(h) {
+		if slices.ContainsFunc(s.Moving, func(r core.Range) bool { return r.Contains(h) }) {
+			return core.Token{}, core.CodeNoOwner
+		}
+		return core.Token{}, core.CodeNotOwner
+	}
+	if now >= s.LeaseEnd {
+		return core.Token{}, core.CodeLeaseExpired
+	}
+	return s.Own[i].Token, 0
+}
+
+// same reports whether o would be read the same way.
+func (s *Snapshot) same(o *Snapshot) bool {
+	return o != nil && s.Table == o.Table && s.LeaseEnd == o.LeaseEnd && s.Reason == o.Reason &&
+		s.Term == o.Term && s.Coordinator == o.Coordinator && s.Coordinates == o.Coordinates &&
+		s.Authority == o.Authority && s.Unwritten == o.Unwritten && s.WantRevision == o.WantRevision &&
+		slices.Equal(s.Own, o.Own) && slices.Equal(s.Moving, o.Moving)
+}
