--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,248 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"pgregory.net/rapid"
+)
+
+// model follows every ticket of a random history.
+type model struct {
+	c     *Controller
+	now   clock.Instant
+	state map[int]string
+	ids   map[int]ID
+}
+
+func (m *model) begin(t *rapid.T, starts []Start) {
+	for _, s := range starts {
+		must.EqOp(t, "queued", m.state[s.Ref.(int)])
+		must.EqOp(t, m.ids[s.Ref.(int)], s.ID)
+		m.state[s.Ref.(int)] = "running"
+	}
+}
+
+func (m *model) refuse(t *rapid.T, refusals []Refusal) {
+	for _, r := range refusals {
+		must.EqOp(t, "queued", m.state[r.Ref.(int)])
+		must.True(t, r.Code.NotRun())
+		delete(m.state, r.Ref.(int))
+	}
+}
+
+func (m *model) pick(t *rapid.T, state string) (int, bool) {
+	for n := 0; n < len(m.ids); n++ {
+		if m.state[n] == state && rapid.Bool().Draw(t, "pick") {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
+func (m *model) offer(t *rapid.T) {
+	n := len(m.ids)
+	ticket := Ticket{
+		Customer: core.Customer(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")),
+		Path:     rapid.SampledFrom([]string{"/x/1", "/y/2"}).Draw(t, "path"),
+		Kind:     core.Kind(rapid.IntRange(0, 2).Draw(t, "kind")),
+		Ref:      n,
+	}
+	if rapid.Bool().Draw(t, "deadline") {
+		ticket.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "left")) * time.Millisecond)
+	}
+	d := m.c.Offer(m.now, ticket)
+	m.ids[n] = d.ID
+	switch d.Verdict {
+	case Admit:
+		m.state[n] = "running"
+	case Queue:
+		m.state[n] = "queued"
+	case Refuse:
+		must.True(t, d.Code.NotRun())
+	}
+}
+
+func (m *model) step(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+	switch rapid.IntRange(0, 6).Draw(t, "op") {
+	case 0, 1, 2:
+		m.offer(t)
+	case 3:
+		if n, ok := m.pick(t, "running"); ok {
+			delete(m.state, n)
+			m.begin(t, m.c.Done(m.now, m.ids[n], Result(rapid.IntRange(0, 3).Draw(t, "result"))))
+		}
+	case 4:
+		if n, ok := m.pick(t, "queued"); ok {
+			delete(m.state, n)
+			m.begin(t, m.c.Cancel(m.now, m.ids[n]))
+		}
+	case 5:
+		if n, ok := m.pick(t, "running"); ok {
+			m.begin(t, m.c.Release(m.now, m.ids[n]))
+		}
+	case 6:
+		starts, refusals := m.c.Expire(m.now)
+		m.begin(t, starts)
+		m.refuse(t, refusals)
+	}
+}
+
+// Guards against tickets that are lost or end twice, counters that drift and
+// hard limits that are exceeded, in random histories.
+func TestAccounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			c:     New(Config{Slots: 4, Connections: 6, QueueSize: 8}),
+			state: map[int]string{}, ids: map[int]ID{},
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			m.step(t)
+			st := m.c.Stats()
+			count := map[string]int{}
+			for _, s := range m.state {
+				count[s]++
+			}
+			must.EqOp(t, count["running"], st.RunningShort+st.RunningLong+st.Lingering)
+			must.LessEq(t, 4, st.RunningShort+st.RunningLong)
+			must.LessEq(t, 6, count["running"])
+			must.LessEq(t, count["queued"], st.QueuedShort+st.QueuedLong)
+			must.LessEq(t, 8, st.QueuedShort+st.QueuedLong)
+		}
+		m.refuse(t, m.c.Drain(m.now))
+		for n, s := range m.state {
+			must.EqOp(t, "running", s)
+			must.SliceEmpty(t, m.c.Done(m.now, m.ids[n], OK))
+		}
+		st := m.c.Stats()
+		must.EqOp(t, 0, st.RunningShort+st.RunningLong+st.Lingering+st.QueuedShort+st.QueuedLong)
+		must.EqOp(t, core.CodeDraining, m.c.Offer(m.now, Ticket{}).Code)
+	})
+}
+
+// Guards against a limit that lets a backend server drown in its own
+// concurrency, and against one that gives capacity away when the slowness has
+// another cause.
+func TestAdaptiveLimit(t *testing.T) {
+	cfg := deployments()[0].config
+	run := func(p Policy, slow func(int) float64) float64 {
+		src := shorts("auction", constant(2*17/lookupMean)).with(61)
+		s := &sim{policy: p, slow: func(now clock.Instant, n int) float64 {
+			if now < clock.Instant(5*time.Second) {
+				return 1
+			}
+			return slow(n)
+		}}
+		s.run(25*time.Second, src)
+		n := 0
+		for _, j := range between(src.jobs, 10*time.Second, 24*time.Second) {
+			if j.answeredGood {
+				n++
+			}
+		}
+		return float64(n) / 14
+	}
+	contended := func(n int) float64 { return 1 + 0.5*float64(max(0, n-9)) }
+	ours, base := run(New(cfg), contended), run(NewFIFO(cfg), contended)
+	best := 9 / lookupMean
+	t.Logf("contended above 9: good answers %.0f/s of at most %.0f/s, baseline %.0f/s", ours, best, base)
+	must.Greater(t, base, ours)
+	uniform := func(int) float64 { return 3 }
+	ours, base = run(New(cfg), uniform), run(NewFIFO(cfg), uniform)
+	best = 17 / (3 * lookupMean)
+	t.Logf("uniformly 3 times slower: good answers %.0f/s of %.0f/s, baseline %.0f/s", ours, best, base)
+	must.GreaterEq(t, 0.95*best, ours)
+}
+
+// Guards against work that was declared short, runs long and keeps its class.
+func TestReclassification(t *testing.T) {
+	c := New(Config{Slots: 17, Connections: 130})
+	d := c.Offer(0, Ticket{Kind: core.KindShort, Path: "/jobs/huge"})
+	must.EqOp(t, Admit, d.Verdict)
+	must.EqOp(t, 1, c.Stats().RunningShort)
+	c.Expire(clock.Instant(51 * time.Millisecond))
+	must.EqOp(t, 1, c.Stats().RunningLong)
+	c.Offer(clock.Instant(52*time.Millisecond), Ticket{Kind: core.KindShort, Path: "/jobs/huge"})
+	must.EqOp(t, 2, c.Stats().RunningLong)
+	c.Done(clock.Instant(time.Second), d.ID, OK)
+	must.EqOp(t, 1, c.Stats().RunningLong)
+}
+
+// Guards against slots that are all taken by work on unknown paths.
+func TestReserveHoldsAgainstUnknownPaths(t *testing.T) {
+	c := New(Config{Slots: 17, Connections: 130})
+	known := c.Offer(0, Ticket{Path: "/known/path", Kind: core.KindShort})
+	c.Done(clock.Instant(time.Millisecond), known.ID, OK)
+	for range 40 {
+		c.Offer(clock.Instant(time.Millisecond), Ticket{Path: "/new/path", Kind: core.KindShort})
+	}
+	must.EqOp(t, Admit, c.Offer(clock.Instant(time.Millisecond), Ticket{Path: "/known/path", Kind: core.KindShort}).Verdict)
+}
+
+// Guards against waiting for an answer that cannot come in time.
+func TestDeadlineIsRefusedAtOnce(t *testing.T) {
+	c := New(Config{Slots: 1, Connections: 1})
+	d := c.Offer(0, Ticket{Deadline: 1})
+	must.EqOp(t, core.CodeDeadlineNotRun, d.Code)
+	seen := map[time.Duration]bool{}
+	for range 200 {
+		d = c.Offer(0, Ticket{Kind: core.KindShort, Customer: "c"})
+		if d.Verdict == Refuse {
+			must.Positive(t, d.RetryAfter)
+			seen[d.RetryAfter] = true
+		}
+	}
+	must.Greater(t, 10, len(seen))
+}
+
+// load keeps a controller full and offers, ends and expires requests.
+func load(c *Controller) func() {
+	now := clock.Instant(0)
+	ids := make([]ID, 0, 64)
+	t := Ticket{Customer: "auction", Kind: core.KindShort, Path: "/prices/lookup/x", Key: "k"}
+	names := make([]core.Customer, 4096)
+	keys := make([]string, 4096)
+	for i := range names {
+		names[i] = core.Customer(fmt.Sprintf("customer-%d", i*i%977))
+		keys[i] = fmt.Sprintf("key-%d", i)
+	}
+	n := 0
+	return func() {
+		now = now.Add(300 * time.Microsecond)
+		n++
+		t.Customer, t.Key = names[n%len(names)], keys[n%len(keys)]
+		if d := c.Offer(now, t); d.Verdict == Admit {
+			ids = append(ids, d.ID)
+		}
+		if len(ids) >= 17 {
+			id := ids[0]
+			ids = append(ids[:0], ids[1:]...)
+			for _, s := range c.Done(now, id, OK) {
+				ids = append(ids, s.ID)
+			}
+		}
+	}
+}
+
+// Guards against allocation on the decision path.
+func TestNoAllocation(t *testing.T) {
+	step := load(New(Config{Slots: 17, Connections: 130}))
+	for range 10_000 {
+		step()
+	}
+	must.EqOp(t, 0, testing.AllocsPerRun(10_000, step))
+}
+
+// BenchmarkDecision measures Offer and Done of one request together.
+func BenchmarkDecision(b *testing.B) {
+	step := load(New(Config{Slots: 17, Connections: 130}))
+	b.ReportAllocs()
+	for b.Loop() {
+		step()
+	}
+}
