Add the I/O stages of the request path: frontend, transport, gate

Callers reach the frontend over hertz, nodes exchange over connect-go on HTTP/2, and the gate forwards to the backend server over its own HTTP/1.1 connections, because an http.Transport neither tells whether a byte was written nor lets a permit be asked for between connect and first byte.

hertz ends a chunked answer with a final chunk when its body reader fails, so the frontend writes answers itself and resets the connection on a cut.

--- /dev/null
+++ b/frontend/conn.go
@@ -0,0 +1,137 @@
+package frontend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// conn is a caller's connection. It knows whether a request is on it, so that
+// a shutdown closes idle connections and no others.
+type conn struct {
+	net.Conn
+	ln     *listener
+	busy   atomic.Bool
+	closed atomic.Bool
+}
+
+// Read implements net.Conn. The first byte of a request makes the connection
+// busy until the answer is out.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.busy.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	err := c.Conn.Close()
+	c.ln.forget(c)
+	return err
+}
+
+// reset closes the connection so that the caller sees a broken exchange even
+// where a clean close would end the message.
+func (c *conn) reset() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// closeWrite tells the caller that the answer is complete while its own bytes
+// may still arrive.
+func (c *conn) closeWrite() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tc.CloseWrite()
+	}
+}
+
+// listener accepts up to a bound of connections and knows the open ones.
+type listener struct {
+	net.Listener
+	max           int64
+	headerTimeout time.Duration
+	conns         sync.Map // of *conn; holds at most max
+	open          atomic.Int64
+	refused       atomic.Uint64
+	changed       chan struct{} // holds a signal after a connection closed
+}
+
+func newListener(ln net.Listener, limit int, headerTimeout time.Duration) *listener {
+	return &listener{
+		Listener: ln, max: int64(limit), headerTimeout: headerTimeout,
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// Accept implements net.Listener. Connections beyond the bound are closed at
+// once.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) > l.max {
+			l.open.Add(-1)
+			l.refused.Add(1)
+			_ = nc.Close()
+			continue
+		}
+		c := &conn{Conn: nc, ln: l}
+		// hertz sets no deadline for the first request of a connection.
+		_ = c.SetReadDeadline(time.Now().Add(l.headerTimeout))
+		l.conns.Store(c, nil)
+		return c, nil
+	}
+}
+
+func (l *listener) forget(c *conn) {
+	l.conns.Delete(c)
+	l.open.Add(-1)
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+// drain closes idle connections until none is left or ctx ends.
+func (l *listener) drain(ctx context.Context) error {
+	for {
+		l.each(func(c *conn) {
+			if !c.busy.Load() {
+				_ = c.Close()
+			}
+		})
+		if l.open.Load() == 0 {
+			return nil
+		}
+		select {
+		case <-l.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (l *listener) each(f func(*conn)) {
+	l.conns.Range(func(k, _ any) bool {
+		f(k.(*conn))
+		return true
+	})
+}
+
+// connKey finds the *conn in the context of its requests.
+type connKey struct{}
+
+func connContext(nc net.Conn) context.Context {
+	return context.WithValue(context.Background(), connKey{}, nc)
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,117 @@
+package gate
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"marjoramshore.example/core"
+)
+
+// Permit is the right to hand one request to the backend server.
+type Permit struct {
+	// Token is the fencing token of the range that holds the key.
+	Token core.Token
+	// LeaseLeft is the time until the lease ends, at the moment of the call.
+	LeaseLeft time.Duration
+}
+
+// Config sets up a Gate. Zero limits take the defaults given with each field.
+type Config struct {
+	// BackendAddr is the host:port of the backend server.
+	BackendAddr string
+	// Permit is called at the last instant before the first byte is written.
+	// A failure refuses the request, which has not run. Nil permits all.
+	Permit func(req *core.Request) (Permit, error)
+	// MaxConns bounds open connections; 256.
+	MaxConns int
+	// ConnWait bounds the wait for a connection when all are in use; 1 s.
+	ConnWait time.Duration
+	// DialTimeout bounds a new connection; 500 ms.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept; 30 s. It should be
+	// shorter than the backend server's own.
+	IdleTimeout time.Duration
+	// MaxHeaderBytes bounds the head of a response; 64 KiB.
+	MaxHeaderBytes int64
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxConns <= 0 {
+		c.MaxConns = 256
+	}
+	if c.ConnWait <= 0 {
+		c.ConnWait = time.Second
+	}
+	if c.DialTimeout <= 0 {
+		c.DialTimeout = 500 * time.Millisecond
+	}
+	if c.IdleTimeout <= 0 {
+		c.IdleTimeout = 30 * time.Second
+	}
+	if c.MaxHeaderBytes <= 0 {
+		c.MaxHeaderBytes = 64 << 10
+	}
+	return c
+}
+
+// Stats are counters since the gate was made.
+type Stats struct {
+	// Sent counts requests of which at least one byte was written.
+	Sent uint64
+	// Dialed and Reused count connections taken for a request.
+	Dialed, Reused uint64
+	// Abandoned counts sent requests given up before their response head; the
+	// connection is closed, and with it any later answer.
+	Abandoned uint64
+	// LateAnswers counts response heads that arrived after the request was
+	// given up and were dropped.
+	LateAnswers uint64
+}
+
+type counters struct {
+	sent, dialed, reused, abandoned, late atomic.Uint64
+}
+
+// Gate is a core.Handler that forwards to one backend server.
+type Gate struct {
+	cfg     Config
+	pool    *connPool
+	uploads *ants.Pool
+	counts  counters
+}
+
+// New makes a Gate. It opens no connection.
+func New(cfg Config) (*Gate, error) {
+	cfg = cfg.withDefaults()
+	if _, _, err := net.SplitHostPort(cfg.BackendAddr); err != nil {
+		return nil, core.Wrap(core.CodeInvalid, err, "gate: backend address")
+	}
+	// An upload holds a connection, so as many copies as connections suffice.
+	uploads, err := ants.NewPool(cfg.MaxConns, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, core.Wrap(core.CodeInternal, err, "gate: upload pool")
+	}
+	g := &Gate{cfg: cfg, uploads: uploads}
+	g.pool = newConnPool(cfg, &g.counts)
+	return g, nil
+}
+
+// Stats returns the gate's counters.
+func (g *Gate) Stats() Stats {
+	return Stats{
+		Sent:   g.counts.sent.Load(),
+		Dialed: g.counts.dialed.Load(), Reused: g.counts.reused.Load(),
+		Abandoned: g.counts.abandoned.Load(), LateAnswers: g.counts.late.Load(),
+	}
+}
+
+// Shutdown refuses new exchanges and waits until the running ones have ended
+// or ctx ends. Idle connections are closed.
+func (g *Gate) Shutdown(ctx context.Context) error {
+	err := g.pool.shutdown(ctx)
+	g.uploads.Release()
+	return err
+}
--- /dev/null
+++ b/transport/classify.go
@@ -0,0 +1,89 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net/http/httptrace"
+	"strings"
+
+	"connectrpc.com/connect"
+	"marjoramshore.example/core"
+	"marjoramshore.example/transport/peerv1"
+)
+
+func traced(ctx context.Context, a *attempt) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+	})
+}
+
+// classify turns a failure of the stream itself into a *core.Error. Only three
+// kinds prove that the peer did not act on the request: no connection was ever
+// at hand, the peer refused the stream unprocessed, or it refused the
+// credentials, which it checks before it reads the request.
+func classify(ctx context.Context, a *attempt, err error) *core.Error {
+	if e := remoteFailure(err); e != nil {
+		return e
+	}
+	switch {
+	case !a.connected.Load():
+		switch ctx.Err() {
+		case context.DeadlineExceeded:
+			return core.Wrap(core.CodeDeadlineNotRun, err, "deadline passed before the request was sent")
+		case context.Canceled:
+			return core.Wrap(core.CodeCanceledNotRun, err, "caller went away before the request was sent")
+		}
+		return core.Wrap(core.CodePeerUnreachable, err, "connect to peer "+a.addr)
+	case unprocessed(err):
+		return core.Wrap(core.CodePeerUnreachable, err, "peer refused the stream")
+	case connect.CodeOf(err) == connect.CodeUnauthenticated:
+		return core.Wrap(core.CodePeerUnreachable, err, "peer refused the credentials")
+	}
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return core.Wrap(core.CodeUnknown, err, "deadline passed while the peer held the request")
+	case context.Canceled:
+		return core.Wrap(core.CodeUnknown, err, "caller went away while the peer held the request")
+	}
+	return core.Wrap(core.CodeUnknown, err, "peer broke off")
+}
+
+// remoteFailure returns the *core.Error that a unary handler attached.
+func remoteFailure(err error) *core.Error {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return nil
+	}
+	for _, d := range ce.Details() {
+		if v, derr := d.Value(); derr == nil {
+			if f, ok := v.(*peerv1.Failure); ok {
+				return decodeFailure(f)
+			}
+		}
+	}
+	return nil
+}
+
+// streamError has the shape of net/http's unexported HTTP/2 stream error, which
+// converts itself to any struct of this shape through errors.As.
+type streamError struct {
+	StreamID uint32
+	Code     uint32
+	Cause    error
+}
+
+func (streamError) Error() string { return "http2 stream error" }
+
+// refusedStream is REFUSED_STREAM (RFC 9113, 7): no processing took place.
+const refusedStream = 0x7
+
+// unprocessed reports whether HTTP/2 guarantees that the peer did not process
+// the stream: REFUSED_STREAM, or GOAWAY with a smaller last stream, for which
+// net/http has a fixed text and no exported type.
+func unprocessed(err error) bool {
+	var se streamError
+	if errors.As(err, &se) {
+		return se.Code == refusedStream
+	}
+	return strings.Contains(err.Error(), "Server's graceful shutdown GOAWAY")
+}
--- /dev/null
+++ b/transport/handler.go
@@ -0,0 +1,109 @@
+package transport
+
+import (
+	"context"
+	"io"
+
+	"connectrpc.com/connect"
+	"marjoramshore.example/core"
+	"marjoramshore.example/transport/peerv1"
+)
+
+// bodyCloserKey finds the HTTP request body, whose Close ends a blocked read.
+type bodyCloserKey struct{}
+
+type serverStream = connect.BidiStream[peerv1.ExchangeFrame, peerv1.ExchangeFrame]
+
+// peerHandler implements the generated service.
+type peerHandler struct{ s *Server }
+
+// Exchange implements peerv1connect.PeerHandler. An error ends the stream with
+// error trailers, which the far side reads as a cut.
+func (h *peerHandler) Exchange(ctx context.Context, stream *serverStream) error {
+	h.s.counts.exchanges.Add(1)
+	defer h.s.running.Add(-1)
+	if h.s.running.Add(1) > int64(h.s.cfg.MaxExchanges) {
+		h.s.counts.refused.Add(1)
+		return refuse(stream, core.Fail(core.CodeOverloaded, "too many exchanges"))
+	}
+	head, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	rh := head.GetRequest()
+	if rh == nil {
+		return refuse(stream, core.Fail(core.CodeInvalid, "exchange without a request head"))
+	}
+	req, err := decodeRequest(rh)
+	if err != nil {
+		return refuse(stream, err)
+	}
+	body := core.NewBody(newFrameReader(head, req.Length, stream.Receive), func() {
+		if c, ok := ctx.Value(bodyCloserKey{}).(io.Closer); ok {
+			_ = c.Close()
+		}
+	})
+	// A stage may still read the body after it answered; the stream must not
+	// be used once this function returns.
+	defer func() { _ = body.Close() }()
+	req.Body = body
+	if !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	resp, err := h.s.cfg.Handler.Serve(ctx, req)
+	if err != nil {
+		return refuse(stream, err)
+	}
+	return respond(stream, resp)
+}
+
+func refuse(stream *serverStream, err error) error {
+	return stream.Send(&peerv1.ExchangeFrame{
+		Head: &peerv1.ExchangeFrame_Failure{Failure: encodeFailure(err)}, End: true,
+	})
+}
+
+func respond(stream *serverStream, resp *core.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	head := &peerv1.ExchangeFrame{Head: &peerv1.ExchangeFrame_Response{Response: encodeResponse(resp)}}
+	if err := sendBody(head, resp.Body, resp.Body == core.NoBody, stream.Send); err != nil {
+		return connect.NewError(connect.CodeAborted, err)
+	}
+	return nil
+}
+
+// FetchTable implements peerv1connect.PeerHandler.
+func (h *peerHandler) FetchTable(ctx context.Context, req *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error) {
+	if h.s.cfg.FetchTable == nil {
+		return nil, failCall(core.Fail(core.CodeNotFound, "no tables here"))
+	}
+	resp, err := h.s.cfg.FetchTable(ctx, req.Msg)
+	if err != nil {
+		return nil, failCall(err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Call implements peerv1connect.PeerHandler.
+func (h *peerHandler) Call(ctx context.Context, req *connect.Request[peerv1.CallRequest]) (*connect.Response[peerv1.CallResponse], error) {
+	f, ok := h.s.cfg.Calls[req.Msg.GetMethod()]
+	if !ok {
+		return nil, failCall(core.Fail(core.CodeNotFound, "unknown method"))
+	}
+	out, err := f(ctx, req.Msg.GetPayload())
+	if err != nil {
+		return nil, failCall(err)
+	}
+	return connect.NewResponse(&peerv1.CallResponse{Payload: out}), nil
+}
+
+// failCall carries a *core.Error as an error detail.
+func failCall(err error) error {
+	ce := connect.NewError(connect.CodeUnknown, err)
+	if d, derr := connect.NewErrorDetail(encodeFailure(err)); derr == nil {
+		ce.AddDetail(d)
+	}
+	return ce
+}
