--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
@@ -21,6 +22,7 @@
 	cancel context.CancelFunc
 	stream *clientStream
 	a      *attempt
+	method string
 	// bodyErr holds the failure to read the request body, if any.
 	bodyErr atomic.Pointer[core.Error]
 }
@@ -38,7 +40,7 @@
 		}
 	}
 	sctx, cancel := withDeadline(ctx, req.Deadline)
-	x := &outgoing{c: c, ctx: sctx, cancel: cancel, a: &attempt{addr: addr}}
+	x := &outgoing{c: c, ctx: sctx, cancel: cancel, a: &attempt{addr: addr}, method: req.Method}
 	x.stream = c.rpc.Exchange(context.WithValue(sctx, attemptKey{}, x.a))
 	if err := x.send(head, req.Body, small); err != nil {
 		x.abort()
@@ -100,8 +102,8 @@
 		return nil, err
 	}
 	length := resp.Length
-	if f.GetEnd() && len(f.GetData()) == 0 {
-		length = core.UnknownLength // a head may announce a length that it does not carry
+	if x.method == http.MethodHead || resp.Status == http.StatusNotModified {
+		length = core.UnknownLength // the head announces a length that it does not carry
 	}
 	resp.Body = &incoming{x: x, src: newFrameReader(f, length, x.stream.Receive)}
 	return resp, nil
