--- a/ownership/api.go
+++ b/ownership/api.go
@@ -6,7 +6,7 @@
 )
 
 // MaxMembers bounds a group; see section 3 of the design for the arithmetic.
-const MaxMembers = 16
+const MaxMembers = 10
 
 // Config describes one node of one group.
 type Config struct {
