Add the entrance, the lease duty and the owner's side

Cause: the decision libraries need duties that carry their messages. Change: module entrance (table duty, router), module lease (ownership state machine as a duty), module owner (admission, at-most-once records and crash marks behind one duty), each on bounded rings.

--- a/node/replay.go
+++ b/entrance/replay.go
@@ -1,4 +1,4 @@
-package node
+package entrance
 
 import (
 	"io"
--- /dev/null
+++ b/owner/control.go
@@ -0,0 +1,94 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/once"
+	"marjoramshore.example/ring"
+	"marjoramshore.example/suspect"
+)
+
+// settleTime is how long a hand-over waits for exchanges in flight. With the
+// transfer and the assignment it must stay within the 50 ms in which a key may
+// be unavailable.
+const settleTime = 15 * time.Millisecond
+
+// HandOver stops knowing a range and returns its records and the hashes that
+// stay because an exchange is in flight.
+func (o *Owner) HandOver(ctx context.Context, r core.Range) (once.Transfer, []core.Hash, error) {
+	reply := ring.NewReply[handedOver]()
+	if err := o.control.Push(ctx, handOver{rng: r, until: time.Now().Add(settleTime), reply: reply}); err != nil {
+		return once.Transfer{}, nil, core.Wrap(core.CodeUnavailable, err, "hand-over")
+	}
+	h, ok := reply.Wait(ctx)
+	if !ok {
+		return once.Transfer{}, nil, core.Fail(core.CodeUnavailable, "hand-over timed out")
+	}
+	return h.transfer, h.keep, nil
+}
+
+// Restore takes back a range whose hand-over failed.
+func (o *Owner) Restore(t once.Transfer) { o.send(restore{t}) }
+
+// Accept takes the records of a range that is about to move here. It returns
+// once the records are in place.
+func (o *Owner) Accept(ctx context.Context, r core.Range, t once.Transfer) error {
+	reply := ring.NewReply[struct{}]()
+	if err := o.control.Push(ctx, accept{rng: r, transfer: t, reply: reply}); err != nil {
+		return core.Wrap(core.CodeUnavailable, err, "accept records")
+	}
+	if _, ok := reply.Wait(ctx); !ok {
+		return core.Fail(core.CodeUnavailable, "accept records timed out")
+	}
+	return nil
+}
+
+// BackendDied marks the requests in flight at the death of one run of the
+// backend server.
+func (o *Owner) BackendDied(id suspect.DeathID) { o.send(died{id}) }
+
+// Resize takes new limits from the backend server's announcement.
+func (o *Owner) Resize(slots, connections int) {
+	o.send(query{func(d *duty) { d.policy.Resize(slots, connections) }})
+}
+
+// InFlight returns the number of exchanges that are queued or running.
+func (o *Owner) InFlight(ctx context.Context) int {
+	n, _ := ask(ctx, o, func(d *duty) int { return len(d.running) })
+	return n
+}
+
+// Quarantines lists the quarantined requests.
+func (o *Owner) Quarantines(ctx context.Context) []suspect.Listed {
+	list, _ := ask(ctx, o, func(d *duty) []suspect.Listed { return d.suspects.List(d.clock.Now()) })
+	return list
+}
+
+// Lift ends a quarantine by an operator's order.
+func (o *Owner) Lift(ctx context.Context, f suspect.Fingerprint) bool {
+	ok, _ := ask(ctx, o, func(d *duty) bool { return d.suspects.Lift(d.clock.Now(), f) })
+	return ok
+}
+
+// Stats returns the figures of the owner's side.
+func (o *Owner) Stats(ctx context.Context) (Stats, bool) {
+	s, ok := ask(ctx, o, func(d *duty) Stats {
+		return Stats{Admission: d.policy.Stats(), Once: d.knowledge.table.Stats(),
+			Refused: d.counts.refused, Duplicates: d.counts.duplicates, Unknown: d.counts.unknown}
+	})
+	s.Offers, s.Controls, s.Moving = o.offers.Stats(), o.control.Stats(), o.moving.Load()
+	return s, ok
+}
+
+// ask runs f on the duty's goroutine and returns its result, or false when ctx
+// ends first.
+func ask[T any](ctx context.Context, o *Owner, f func(*duty) T) (T, bool) {
+	reply := ring.NewReply[T]()
+	if err := o.control.Push(ctx, query{func(d *duty) { reply.Send(f(d)) }}); err != nil {
+		var zero T
+		return zero, false
+	}
+	return reply.Wait(ctx)
+}
--- /dev/null
+++ b/owner/messages.go
@@ -0,0 +1,155 @@
+package owner
+
+import (
+	"time"
+
+	"marjoramshore.example/admission"
+	"marjoramshore.example/core"
+	"marjoramshore.example/once"
+	"marjoramshore.example/suspect"
+)
+
+func (m answered) apply(d *duty) {
+	if m.x.recorded {
+		d.knowledge.table.Finish(m.x.record, once.Done, core.OutcomeAnswered, m.status)
+		m.x.recorded = false
+	}
+}
+
+func (m end) apply(d *duty) {
+	x := m.x
+	if x.ended {
+		return
+	}
+	x.ended = true
+	delete(d.running, x)
+	now := d.clock.Now()
+	switch {
+	case m.err == nil:
+	case m.err.Code.NotRun():
+		d.forget(x)
+	case x.recorded:
+		d.knowledge.table.Finish(x.record, once.Unknown, core.OutcomeUnknown, 0)
+		x.recorded = false
+	}
+	if m.err != nil && m.err.Code == core.CodeUnknown {
+		d.remember(x)
+	}
+	d.suspects.Finish(now, x.fingerprint, m.err == nil)
+	d.start(d.policy.Done(now, x.id, resultOf(m.status, m.err)))
+}
+
+func resultOf(status int, err *core.Error) admission.Result {
+	const unavailable = 503
+	switch {
+	case err != nil && err.Code == core.CodeCanceledNotRun:
+		return admission.Abandoned
+	case err != nil:
+		return admission.Failed
+	case status == unavailable:
+		return admission.Shed
+	default:
+		return admission.OK
+	}
+}
+
+// remember keeps an exchange whose connection broke for a death that is
+// noticed a moment later.
+func (d *duty) remember(x *exchange) {
+	if len(d.broken) == maxBroken {
+		d.broken = d.broken[1:]
+	}
+	d.broken = append(d.broken, broken{inflight: inflight(x), at: time.Now()})
+}
+
+func inflight(x *exchange) suspect.Inflight {
+	return suspect.Inflight{Fingerprint: x.fingerprint,
+		Note: string(x.req.Service) + " " + x.req.Method + " " + x.req.Path + " key " + x.req.Key}
+}
+
+func (m cancel) apply(d *duty) {
+	x := m.x
+	x.canceled = true
+	if x.ended || x.id == 0 {
+		return
+	}
+	if x.started {
+		// It was let in while the caller left, and was never sent.
+		end{x: x, err: core.Fail(core.CodeCanceledNotRun, "caller left")}.apply(d)
+		return
+	}
+	x.ended = true
+	delete(d.running, x)
+	d.forget(x)
+	now := d.clock.Now()
+	d.suspects.Finish(now, x.fingerprint, false)
+	d.start(d.policy.Cancel(now, x.id))
+}
+
+func (m lease) apply(d *duty) {
+	if m.snapshot.Table == d.table {
+		return
+	}
+	d.table = m.snapshot.Table
+	d.knowledge.follow(d.table, d.cfg.Self, time.Now())
+}
+
+func (m handOver) apply(d *duty) {
+	d.moves = append(d.moves, m)
+	d.finishMoves(time.Now())
+}
+
+// finishMoves answers the hand-overs whose exchanges have ended or whose time
+// is over. Hashes that are still busy stay with this node.
+func (d *duty) finishMoves(now time.Time) {
+	left := d.moves[:0]
+	for _, m := range d.moves {
+		keep := d.busy(m.rng)
+		if len(keep) > 0 && now.Before(m.until) {
+			left = append(left, m)
+			continue
+		}
+		m.reply.Send(handedOver{transfer: d.knowledge.give(m.rng, keep), keep: keep})
+	}
+	d.moves = left
+}
+
+func (d *duty) busy(r core.Range) []core.Hash {
+	seen := map[core.Hash]bool{}
+	var out []core.Hash
+	for x := range d.running {
+		if r.Contains(x.hash) && !seen[x.hash] {
+			seen[x.hash] = true
+			out = append(out, x.hash)
+		}
+	}
+	return out
+}
+
+func (m restore) apply(d *duty) { d.knowledge.restore(time.Now(), m.transfer) }
+
+func (m accept) apply(d *duty) {
+	d.knowledge.accept(time.Now(), m.rng, m.transfer)
+	m.reply.Send(struct{}{})
+}
+
+func (m died) apply(d *duty) {
+	var list []suspect.Inflight
+	for x := range d.running {
+		if x.started {
+			list = append(list, inflight(x))
+		}
+	}
+	for _, b := range d.broken {
+		list = append(list, b.inflight)
+	}
+	d.broken = nil
+	if len(list) == 0 {
+		return
+	}
+	for _, f := range d.suspects.BackendDied(d.clock.Now(), m.id, list) {
+		d.cfg.Quarantined(f)
+	}
+}
+
+func (m query) apply(d *duty) { m.f(d) }
