--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -95,6 +95,9 @@
 		end = min(end, n.c.promise(r).until)
 	}
 	if p := n.store.pend; p != nil && p.kind == writeUpdate {
+		if len(p.rec.Successors) == 0 {
+			return 0 // the write may be in force already
+		}
 		for _, r := range p.rec.Successors {
 			end = min(end, n.c.promise(r).until)
 		}
