--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -236,8 +236,3 @@
 		{"tile-service", Config{Slots: 12, Connections: 110, Seed: 1}},
 	}
 }
-
-// compare runs the same scenario with the controller and the baseline.
-func compare(c Config, scenario func(Policy) *sim) (ours, baseline *sim) {
-	return scenario(New(c)), scenario(NewFIFO(c))
-}
--- /dev/null
+++ b/once/move.go
@@ -0,0 +1,80 @@
+package once
+
+import (
+	"time"
+
+	"marjoramshore.example/core"
+)
+
+// Piece is a part of a moved range with the horizon of its former owner. A
+// zero horizon means that nothing is missing.
+type Piece struct {
+	Range   core.Range
+	Horizon time.Time
+}
+
+// Transfer is the knowledge of a range that moves with it.
+type Transfer struct {
+	Pieces  []Piece
+	Records []Record
+}
+
+// Export copies the knowledge of a range. The owner must have stopped
+// beginning new requests of the range, and releases it before the new owner
+// imports the transfer.
+func (t *Table) Export(r core.Range) Transfer {
+	var out Transfer
+	for _, s := range t.spans.within(r) {
+		p := Piece{Range: s.r}
+		if s.horizon > 0 {
+			p.Horizon = time.UnixMilli(s.horizon)
+		}
+		out.Pieces = append(out.Pieces, p)
+	}
+	out.Records = t.Records(r)
+	return out
+}
+
+// Records copies the records of a range. A former owner sends them once more
+// when exchanges end that were in flight during the move; see Learn.
+func (t *Table) Records(r core.Range) []Record {
+	var out []Record
+	t.records.each(func(x *record) {
+		if r.Contains(x.hash) {
+			out = append(out, x.public())
+		}
+	})
+	return out
+}
+
+// Import takes over a range by a planned move. Requests that still run at the
+// former owner become unknown.
+func (t *Table) Import(wall time.Time, in Transfer) {
+	t.observe(wall)
+	for _, p := range in.Pieces {
+		ms := int64(0)
+		if !p.Horizon.IsZero() {
+			ms = p.Horizon.UnixMilli()
+		}
+		t.spans.set(p.Range, ms)
+	}
+	t.Learn(in.Records)
+}
+
+// Learn adds records of another owner. A record that is already known changes
+// only from unknown to done.
+func (t *Table) Learn(in []Record) {
+	for _, r := range in {
+		x := compact(r)
+		if x.state == Running {
+			x.state = Unknown
+		}
+		old := t.records.find(x.id)
+		switch {
+		case old == nil:
+			t.insert(x)
+		case old.state == Unknown && x.state == Done:
+			old.state, old.outcome, old.status = Done, x.outcome, x.status
+		}
+	}
+}
