--- a/entrance/replay.go
+++ b/entrance/replay.go
@@ -50,8 +50,6 @@
 	}
 }
 
-func (b *replayBody) close() { _ = b.src.Close() }
-
 // attemptBody is one attempt's view of the body. Read and Close may be called
 // from different goroutines.
 type attemptBody struct {
--- /dev/null
+++ b/groupwire/transfer.go
@@ -0,0 +1,95 @@
+package groupwire
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marjoramshore.example/core"
+	pb "marjoramshore.example/groupwire/groupv1"
+	"marjoramshore.example/once"
+)
+
+// EncodeTransfer returns the bytes of the records of range r.
+func EncodeTransfer(r core.Range, t once.Transfer) ([]byte, error) {
+	out := &pb.Transfer{Range: encodeRange(r)}
+	for _, p := range t.Pieces {
+		out.Pieces = append(out.Pieces, &pb.Piece{Range: encodeRange(p.Range), HorizonUnixMs: unixMs(p.Horizon)})
+	}
+	for _, x := range t.Records {
+		out.Records = append(out.Records, &pb.Record{Id: x.ID[:], Hash: uint64(x.Hash), State: uint32(x.State),
+			Outcome: string(x.Outcome), Status: uint32(x.Status), BegunUnixMs: unixMs(x.Begun)})
+	}
+	b, err := proto.Marshal(out)
+	if err != nil {
+		return nil, core.Wrap(core.CodeInternal, err, "transfer: encode")
+	}
+	return b, nil
+}
+
+// DecodeTransfer returns the range and its records, or an *Error with
+// CodeInvalid.
+func DecodeTransfer(b []byte) (core.Range, once.Transfer, error) {
+	in := new(pb.Transfer)
+	if err := proto.Unmarshal(b, in); err != nil {
+		return core.Range{}, once.Transfer{}, core.Wrap(core.CodeInvalid, err, "transfer: decode")
+	}
+	r := decodeRange(in.Range)
+	var t once.Transfer
+	for _, p := range in.Pieces {
+		piece := once.Piece{Range: decodeRange(p.Range), Horizon: fromUnixMs(p.HorizonUnixMs)}
+		if piece.Range.Lo > piece.Range.Hi || piece.Range.Lo < r.Lo || piece.Range.Hi > r.Hi {
+			return r, t, core.Fail(core.CodeInvalid, "transfer: piece outside the range")
+		}
+		t.Pieces = append(t.Pieces, piece)
+	}
+	for _, x := range in.Records {
+		rec := once.Record{Hash: core.Hash(x.Hash), State: once.State(x.State), Outcome: core.Outcome(x.Outcome),
+			Status: int(x.Status), Begun: fromUnixMs(x.BegunUnixMs)}
+		if len(x.Id) != len(rec.ID) || !r.Contains(rec.Hash) {
+			return r, t, core.Fail(core.CodeInvalid, "transfer: record outside the range")
+		}
+		copy(rec.ID[:], x.Id)
+		t.Records = append(t.Records, rec)
+	}
+	return r, t, nil
+}
+
+func unixMs(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromUnixMs(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// TableRequest asks a member for the table of its group.
+type TableRequest struct {
+	Group core.GroupID
+	// Have is the version held, or zero.
+	Have core.Token
+}
+
+// EncodeTableRequest returns the bytes of r.
+func EncodeTableRequest(r TableRequest) ([]byte, error) {
+	b, err := proto.Marshal(&pb.TableRequest{Service: string(r.Group.Service), Group: r.Group.Number, Have: encodeToken(r.Have)})
+	if err != nil {
+		return nil, core.Wrap(core.CodeInternal, err, "table request: encode")
+	}
+	return b, nil
+}
+
+// DecodeTableRequest returns the request in b, or an *Error with CodeInvalid.
+func DecodeTableRequest(b []byte) (TableRequest, error) {
+	in := new(pb.TableRequest)
+	if err := proto.Unmarshal(b, in); err != nil {
+		return TableRequest{}, core.Wrap(core.CodeInvalid, err, "table request: decode")
+	}
+	return TableRequest{Group: core.GroupID{Service: core.Service(in.Service), Number: in.Group}, Have: decodeToken(in.Have)}, nil
+}
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"time"
+
+	"marjoramshore.example/admission"
+	"marjoramshore.example/core"
+	"marjoramshore.example/once"
+	"marjoramshore.example/ownership"
+	"marjoramshore.example/store"
+)
+
+// Config describes one node. The command line makes it from the settings file;
+// tests and the demo make it directly.
+type Config struct {
+	Node       core.NodeID
+	Region     core.Region
+	DataCentre core.DataCentre
+	Service    core.Service
+	// Group is the ownership group that the node joins.
+	Group uint32
+
+	// CallerListen, PeerListen are the host:port to listen on.
+	CallerListen, PeerListen string
+	// CallerAddress, PeerAddress are the host:port as others see them; empty
+	// means the address of the listener.
+	CallerAddress, PeerAddress string
+	// BackendAddress is the host:port of the backend server beside the node.
+	BackendAddress string
+
+	// PeerKey authenticates nodes to each other.
+	PeerKey []byte
+	Store   store.Store
+	// StoreBudget limits the calls of this node.
+	StoreBudget store.Config
+
+	Timing     ownership.Timing
+	DrainShare float64
+	Admission  admission.Config
+	Once       once.Config
+	// MaxWaiting bounds the requests that wait for an owner.
+	MaxWaiting int
+	// MaxConns bounds callers' connections.
+	MaxConns int
+	// Services are the services known from the start, with the number of
+	// their groups. Declared services are learned from the configuration.
+	Services map[core.Service]uint32
+	// ProbeInterval is the time between probes of the backend server.
+	ProbeInterval time.Duration
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/entrance"
+	"marjoramshore.example/frontend"
+	"marjoramshore.example/gate"
+	"marjoramshore.example/lease"
+	"marjoramshore.example/owner"
+	"marjoramshore.example/ownership"
+	"marjoramshore.example/routing"
+	"marjoramshore.example/store"
+	"marjoramshore.example/transport"
+)
+
+// Node is one process: an entrance for callers, and the owner's side beside
+// one backend server.
+type Node struct {
+	cfg   Config
+	clock *clock.Real
+	self  core.Member
+
+	store    *store.Duty
+	auth     *transport.Authenticator
+	peers    *transport.Client
+	server   *transport.Server
+	sender   *sender
+	tables   *entrance.Tables
+	router   *entrance.Router
+	owner    *owner.Owner
+	gate     *gate.Gate
+	frontend *frontend.Frontend
+	// lease is nil until the backend server has announced itself.
+	lease atomic.Pointer[lease.Duty]
+
+	cancel context.CancelFunc
+	duties sync.WaitGroup
+	// left is closed when the node has left its group.
+	left     chan struct{}
+	leftOnce sync.Once
+}
+
+// New listens on the node's addresses. Start begins to serve.
+func New(cfg Config) (*Node, error) {
+	if cfg.Timing == (ownership.Timing{}) {
+		cfg.Timing = ownership.DefaultTiming()
+	}
+	if cfg.ProbeInterval <= 0 {
+		cfg.ProbeInterval = 250 * time.Millisecond
+	}
+	n := &Node{cfg: cfg, clock: clock.NewReal(), left: make(chan struct{})}
+	steps := []func() error{n.openStore, n.openPeers, n.openOwner, n.openEntrance}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			n.abort()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) openStore() (err error) {
+	n.store, err = store.NewDuty(n.cfg.StoreBudget, n.cfg.Store)
+	return err
+}
+
+func (n *Node) openPeers() (err error) {
+	if n.auth, err = transport.NewAuthenticator(0, n.cfg.PeerKey); err != nil {
+		return err
+	}
+	if n.peers, err = transport.NewClient(transport.ClientConfig{Auth: n.auth}); err != nil {
+		return err
+	}
+	n.server, err = transport.NewServer(transport.ServerConfig{
+		Addr: n.cfg.PeerListen, Auth: n.auth,
+		Handler: core.HandlerFunc(n.serveOwned),
+		Calls:   n.calls(),
+	})
+	if err != nil {
+		return err
+	}
+	n.self = core.Member{
+		Node: n.cfg.Node, Incarnation: newIncarnation(), DataCentre: n.cfg.DataCentre,
+		Address: or(n.cfg.PeerAddress, n.server.Addr()), CallerAddress: n.cfg.CallerAddress,
+	}
+	n.sender, err = newSender(n.peers)
+	return err
+}
+
+func newIncarnation() core.Incarnation {
+	for {
+		if i := core.Incarnation(rand.Uint64()); i != 0 {
+			return i
+		}
+	}
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func (n *Node) openOwner() (err error) {
+	n.gate, err = gate.New(gate.Config{
+		BackendAddr: n.cfg.BackendAddress, Permit: n.permit, MaxConns: n.cfg.Admission.Connections,
+	})
+	return err
+}
+
+func (n *Node) openEntrance() (err error) {
+	if n.tables, err = entrance.NewTables(&fetcher{n: n}); err != nil {
+		return err
+	}
+	n.frontend, err = frontend.New(frontend.Config{
+		Addr: n.cfg.CallerListen, MaxConns: n.cfg.MaxConns,
+		Handler: core.HandlerFunc(func(ctx context.Context, req *core.Request) (*core.Response, error) {
+			return n.router.Serve(ctx, req)
+		}),
+	})
+	if err != nil {
+		return err
+	}
+	n.self.CallerAddress = or(n.self.CallerAddress, n.frontend.Addr())
+	n.owner = owner.New(owner.Config{
+		Self: n.self, Clock: n.clock, Lease: n.Lease, Gate: n.gate,
+		Admission: n.cfg.Admission, Once: n.cfg.Once,
+	})
+	n.router = entrance.NewRouter(entrance.Config{
+		Self: n.self, Tables: n.tables, Peers: n.peers, Local: n.owner,
+		Clock: n.clock, MaxWaiting: n.cfg.MaxWaiting,
+	})
+	return nil
+}
+
+// abort closes what New opened before it failed.
+func (n *Node) abort() {
+	if n.server != nil {
+		n.server.Start()
+		_ = n.server.Close()
+	}
+}
+
+// Start begins to serve. The node joins its group as soon as the backend
+// server beside it has announced itself.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.run(func() { n.store.Run(ctx) })
+	n.run(func() { n.sender.run(ctx) })
+	n.run(func() { n.tables.Run(ctx) })
+	n.run(func() { n.owner.Run(ctx) })
+	for s, groups := range n.cfg.Services {
+		n.tables.SetSpans(s, spans(groups))
+	}
+	n.server.Start()
+	n.frontend.Start()
+	n.run(func() { n.followBackend(ctx) })
+}
+
+func (n *Node) run(f func()) {
+	n.duties.Add(1)
+	go func() {
+		defer n.duties.Done()
+		f()
+	}()
+}
+
+// spans divides the key space evenly among groups.
+func spans(groups uint32) []routing.Span {
+	groups = max(groups, 1)
+	out := make([]routing.Span, groups)
+	step := ^core.Hash(0)/core.Hash(groups) + 1
+	for i := range out {
+		lo := core.Hash(i) * step
+		out[i] = routing.Span{Group: uint32(i), Range: core.Range{Lo: lo, Hi: lo + step - 1}}
+	}
+	out[groups-1].Range.Hi = ^core.Hash(0)
+	return out
+}
+
+// CallerAddr returns the address on which callers are served.
+func (n *Node) CallerAddr() string { return n.frontend.Addr() }
+
+// PeerAddr returns the address on which other nodes are served.
+func (n *Node) PeerAddr() string { return n.server.Addr() }
+
+// Lease returns the newest lease snapshot, or nil before the node has joined.
+func (n *Node) Lease() *ownership.Snapshot {
+	if d := n.lease.Load(); d != nil {
+		return d.Snapshot()
+	}
+	return nil
+}
+
+// serveOwned serves exchanges of other nodes, which only come to the owner.
+func (n *Node) serveOwned(ctx context.Context, req *core.Request) (*core.Response, error) {
+	return n.owner.Serve(ctx, req)
+}
+
+// permit reads the lease at the last instant before the backend server is
+// given a request.
+func (n *Node) permit(req *core.Request) (gate.Permit, error) {
+	s := n.Lease()
+	if s == nil {
+		return gate.Permit{}, core.Fail(core.CodeNotOwner, "no lease")
+	}
+	now := n.clock.Now()
+	token, code := s.Check(now, req.Hash())
+	if code != 0 {
+		return gate.Permit{}, core.Fail(code, "lease changed before the request was sent")
+	}
+	return gate.Permit{Token: token, LeaseLeft: s.LeaseEnd.Sub(now)}, nil
+}
+
+// publish hands a new lease snapshot to the parts that follow it.
+func (n *Node) publish(ctx context.Context, s *ownership.Snapshot) {
+	if s.Table != nil {
+		n.tables.Learn(s.Table)
+	}
+	n.owner.LeaseChanged(ctx, s)
+	if s.Reason == ownership.ReasonLeft {
+		n.leftOnce.Do(func() { close(n.left) })
+	}
+}
--- /dev/null
+++ b/node/sender.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/groupwire"
+	"marjoramshore.example/ownership"
+	"marjoramshore.example/ring"
+	"marjoramshore.example/transport"
+)
+
+const (
+	// outgoing bounds queued group messages. They repeat, so the oldest goes.
+	outgoing = 256
+	// streamWorkers bounds group messages on their way over a stream.
+	streamWorkers = 16
+	// streamTimeout bounds one such message: two heartbeats.
+	streamTimeout = 1200 * time.Millisecond
+)
+
+type addressed struct {
+	to  core.Member
+	msg ownership.Message
+}
+
+// sender is the duty that encodes group messages and sends them.
+type sender struct {
+	out   *ring.Ring[addressed]
+	peers *transport.Client
+	pool  *ants.Pool
+}
+
+func newSender(peers *transport.Client) (*sender, error) {
+	pool, err := ants.NewPool(streamWorkers, ants.WithNonblocking(true), ants.WithDisablePurge(true))
+	if err != nil {
+		return nil, core.Wrap(core.CodeInternal, err, "sender: worker pool")
+	}
+	return &sender{out: ring.New[addressed]("group messages", outgoing, ring.DropOldest), peers: peers, pool: pool}, nil
+}
+
+// Send implements lease.Sender.
+func (s *sender) Send(to core.Member, m ownership.Message) {
+	_ = s.out.Push(context.Background(), addressed{to, m})
+}
+
+func (s *sender) run(ctx context.Context) {
+	defer s.pool.Release()
+	ring.Duty(ctx, s.out, 0, func(a addressed) { s.send(ctx, a) }, nil)
+}
+
+func (s *sender) send(ctx context.Context, a addressed) {
+	b, err := groupwire.Encode(ownership.RunOf(a.to), a.msg)
+	if err != nil {
+		return
+	}
+	// A full pool drops the message; the protocol repeats it.
+	_ = s.pool.Submit(func() {
+		call, cancel := context.WithTimeout(ctx, streamTimeout)
+		defer cancel()
+		_, _ = s.peers.Call(call, a.to.Address, callGroup, b)
+	})
+}
