Add the operators' API and its client

Operators need to see what a change does before it is made, and scripts need exit codes that they can rely on.

--- /dev/null
+++ b/operator/api.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/intent"
+)
+
+// Backend is what the node implements. Errors are intent.Faults,
+// *intent.ConflictError or *core.Error; any other error answers "internal".
+type Backend interface {
+	// Apply plans a declaration and keeps the plan for a while.
+	Apply(ctx context.Context, want intent.Declaration) (intent.Plan, error)
+	// Plan returns a plan that Apply made, or CodeNotFound.
+	Plan(ctx context.Context, id string) (intent.Plan, error)
+	Confirm(ctx context.Context, c Confirm) (Accepted, error)
+	Status(ctx context.Context) (Status, error)
+	Explain(ctx context.Context, service core.Service, key string) (Explanation, error)
+	History(ctx context.Context, limit int) (History, error)
+	// Drain starts a drain, or ends it when on is false.
+	Drain(ctx context.Context, d Drain, on bool) (Accepted, error)
+	Quarantine(ctx context.Context, q Quarantine) (Accepted, error)
+	// Burn returns the report; html asks for the page as well.
+	Burn(ctx context.Context, html bool) (Burn, error)
+}
+
+// Who says who asks for a change and why.
+type Who struct {
+	By    string `json:"by,omitempty"`
+	Cause string `json:"cause,omitempty"`
+}
+
+// Confirm confirms a plan that the node keeps, or one that the request holds.
+type Confirm struct {
+	PlanID string       `json:"plan_id,omitempty"`
+	Plan   *intent.Plan `json:"plan,omitempty"`
+	Who
+}
+
+// Drain names a node to drain.
+type Drain struct {
+	Service core.Service `json:"service"`
+	Node    core.NodeID  `json:"node"`
+	Who
+}
+
+// Quarantine names the fingerprint of requests to refuse.
+type Quarantine struct {
+	Service     core.Service `json:"service"`
+	Fingerprint string       `json:"fingerprint"`
+	// Lift ends the quarantine.
+	Lift bool `json:"lift,omitempty"`
+	Who
+}
+
+// Accepted is the answer to a change. The change is durable.
+type Accepted struct {
+	Revision core.Revision `json:"revision"`
+	// InForce reports whether every node has the revision in force.
+	InForce    bool          `json:"in_force"`
+	WaitingFor []core.NodeID `json:"waiting_for"`
+	// WontDo lists parts that were asked for and not done.
+	WontDo []intent.Refusal `json:"wont_do,omitempty"`
+}
+
+// Status describes the node and its group.
+type Status struct {
+	Node       core.NodeID     `json:"node"`
+	Service    core.Service    `json:"service"`
+	Region     core.Region     `json:"region"`
+	DataCentre core.DataCentre `json:"data_centre"`
+	Draining   bool            `json:"draining"`
+	// Revision is the one in force on this node.
+	Revision   core.Revision `json:"revision"`
+	InForce    bool          `json:"in_force"`
+	WaitingFor []core.NodeID `json:"waiting_for"`
+	Store      StoreStatus   `json:"store"`
+	Group      GroupStatus   `json:"group"`
+	Backend    BackendStatus `json:"backend"`
+}
+
+// StoreStatus describes the path to the platform's store.
+type StoreStatus struct {
+	Failing bool `json:"failing"`
+	// AgeMs is the time since the store last answered.
+	AgeMs int64 `json:"age_ms"`
+}
+
+// GroupStatus describes the ownership group of the node.
+type GroupStatus struct {
+	Number      uint32         `json:"number"`
+	Term        uint64         `json:"term"`
+	Coordinator core.NodeID    `json:"coordinator"`
+	Successors  []core.NodeID  `json:"successors"`
+	Members     []MemberStatus `json:"members"`
+}
+
+// MemberStatus describes one member of the group.
+type MemberStatus struct {
+	Node       core.NodeID     `json:"node"`
+	DataCentre core.DataCentre `json:"data_centre"`
+	Revision   core.Revision   `json:"revision"`
+	Ranges     int             `json:"ranges"`
+	// Share is the owned share of the service's key space.
+	Share    float64 `json:"share"`
+	Draining bool    `json:"draining"`
+	LeaseMs  int64   `json:"lease_ms"` // time left
+}
+
+// BackendStatus describes the backend server beside the node.
+type BackendStatus struct {
+	State    string `json:"state"`
+	InFlight int    `json:"in_flight"`
+	Limit    int    `json:"limit"`
+	Queued   int    `json:"queued"`
+}
+
+// Explanation says who owns a key and why.
+type Explanation struct {
+	Service core.Service `json:"service"`
+	Key     string       `json:"key"`
+	Hash    string       `json:"hash"` // hexadecimal
+	Group   uint32       `json:"group"`
+	Lo      string       `json:"lo"` // of the range, hexadecimal
+	Hi      string       `json:"hi"`
+	// Owner is empty while nobody owns the key.
+	Owner    core.NodeID   `json:"owner,omitempty"`
+	Address  string        `json:"address,omitempty"`
+	Token    string        `json:"token,omitempty"` // fencing token, term.sequence
+	LeaseMs  int64         `json:"lease_ms"`        // time left
+	Revision core.Revision `json:"revision"`
+	// Why lists the decisions that led here, oldest first.
+	Why []string `json:"why"`
+}
+
+// History lists events and accepted changes, newest first.
+type History struct {
+	Events  []Event        `json:"events"`
+	Changes []intent.Entry `json:"changes"`
+}
+
+// Event is one event of the journal.
+type Event struct {
+	AtMs     int64             `json:"at_ms"` // wall time, ms since the epoch
+	Kind     string            `json:"kind"`
+	Service  core.Service      `json:"service,omitempty"`
+	Cause    string            `json:"cause"`
+	Revision core.Revision     `json:"revision"`
+	Term     uint64            `json:"term"`
+	Detail   map[string]string `json:"detail,omitempty"`
+}
+
+// Burn is the report on service levels. Its content belongs to module burn.
+type Burn struct {
+	Report json.RawMessage `json:"report"`
+	// Text is the report for people.
+	Text string `json:"text"`
+	// HTML is one self-contained page, when it was asked for.
+	HTML string `json:"html,omitempty"`
+}
--- /dev/null
+++ b/operator/render.go
@@ -0,0 +1,188 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/intent"
+)
+
+func (c Command) write(w io.Writer, v any) error {
+	if c.JSON {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "\t")
+		return writeError(e.Encode(v))
+	}
+	return Render(w, v)
+}
+
+func writeError(err error) error {
+	if err != nil {
+		return &UsageError{Argument: "output", Limit: "must be writable: " + err.Error()}
+	}
+	return nil
+}
+
+// Render writes an answer of the API for people.
+func Render(w io.Writer, v any) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	switch v := v.(type) {
+	case intent.Plan:
+		renderPlan(t, v)
+	case Accepted:
+		renderAccepted(t, v)
+	case Status:
+		renderStatus(t, v)
+	case Explanation:
+		renderExplanation(t, v)
+	case History:
+		renderHistory(t, v)
+	case Burn:
+		fmt.Fprintln(t, strings.TrimRight(v.Text, "\n"))
+	default:
+		fmt.Fprintln(t, v)
+	}
+	return writeError(t.Flush())
+}
+
+// shownMoves bounds the moves that are listed for people; JSON has all.
+const shownMoves = 20
+
+func renderPlan(w io.Writer, p intent.Plan) {
+	fmt.Fprintf(w, "plan %s, made from revision %d; nothing has changed yet\n", p.ID, p.Base)
+	section(w, "changes", len(p.Changes))
+	for _, c := range p.Changes {
+		fmt.Fprintf(w, "  %s\n", c)
+	}
+	section(w, "moves", len(p.Moves)+p.MoreMoves)
+	for _, m := range p.Moves[:min(len(p.Moves), shownMoves)] {
+		fmt.Fprintf(w, "  %s\t%s-%s\t%s -> %s\t%s\n", m.Service, m.Lo, m.Hi, m.From, m.To, m.Cause)
+	}
+	if more := len(p.Moves) + p.MoreMoves - shownMoves; more > 0 {
+		fmt.Fprintf(w, "  and %d more\n", more)
+	}
+	for _, e := range p.Effects {
+		fmt.Fprintf(w, "effect on %s: %.2f%% of the key space moves, each of its keys unavailable for at most %d ms, peak use of slots %.0f%% -> %.0f%%\n",
+			e.Service, 100*e.Churn, e.KeyUnavailableMs, 100*e.PeakBefore, 100*e.PeakAfter)
+	}
+	renderRefusals(w, p.WontDo)
+}
+
+func section(w io.Writer, name string, n int) {
+	if n == 0 {
+		fmt.Fprintf(w, "%s: none\n", name)
+		return
+	}
+	fmt.Fprintf(w, "%s: %d\n", name, n)
+}
+
+func renderRefusals(w io.Writer, list []intent.Refusal) {
+	for _, r := range list {
+		fmt.Fprintf(w, "will not %s of %s: %s\n", r.What, r.Service, r.Why)
+	}
+}
+
+func renderAccepted(w io.Writer, a Accepted) {
+	fmt.Fprintf(w, "accepted as revision %d\n", a.Revision)
+	renderInForce(w, a.InForce, a.WaitingFor)
+	renderRefusals(w, a.WontDo)
+}
+
+func renderInForce(w io.Writer, inForce bool, waiting []core.NodeID) {
+	if inForce {
+		fmt.Fprintln(w, "in force everywhere")
+		return
+	}
+	fmt.Fprintf(w, "waiting for %d nodes: %s\n", len(waiting), join(waiting))
+}
+
+func join[T ~string](list []T) string {
+	out := make([]string, len(list))
+	for i, v := range list {
+		out[i] = string(v)
+	}
+	return strings.Join(out, ", ")
+}
+
+func renderStatus(w io.Writer, s Status) {
+	fmt.Fprintf(w, "node\t%s\nservice\t%s\nplace\t%s, %s\n", s.Node, s.Service, s.Region, s.DataCentre)
+	fmt.Fprintf(w, "draining\t%t\nrevision\t%d\n", s.Draining, s.Revision)
+	fmt.Fprintf(w, "store\t%s, answered %s ago\n", word(s.Store.Failing, "failing", "answering"), ms(s.Store.AgeMs))
+	fmt.Fprintf(w, "backend server\t%s, %d of %d in flight, %d queued\n", s.Backend.State, s.Backend.InFlight, s.Backend.Limit, s.Backend.Queued)
+	g := s.Group
+	fmt.Fprintf(w, "group\t%d, term %d, coordinator %s, successors %s\n", g.Number, g.Term, g.Coordinator, join(g.Successors))
+	renderInForce(w, s.InForce, s.WaitingFor)
+	if len(g.Members) > 0 {
+		fmt.Fprintln(w, "\nmember\tdata centre\trevision\tranges\tshare\tlease\tstate")
+	}
+	for _, m := range g.Members {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f%%\t%s\t%s\n", m.Node, m.DataCentre, m.Revision, m.Ranges,
+			100*m.Share, ms(m.LeaseMs), word(m.Draining, "draining", "serving"))
+	}
+}
+
+func word(on bool, yes, no string) string {
+	if on {
+		return yes
+	}
+	return no
+}
+
+func ms(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
+
+func renderExplanation(w io.Writer, e Explanation) {
+	fmt.Fprintf(w, "key %q of %s has hash %s\n", e.Key, e.Service, e.Hash)
+	fmt.Fprintf(w, "group %d, range %s-%s, revision %d\n", e.Group, e.Lo, e.Hi, e.Revision)
+	if e.Owner == "" {
+		fmt.Fprintln(w, "nobody owns it now")
+	} else {
+		fmt.Fprintf(w, "owner %s at %s, fencing token %s, lease for %s\n", e.Owner, e.Address, e.Token, ms(e.LeaseMs))
+	}
+	for _, why := range e.Why {
+		fmt.Fprintf(w, "  %s\n", why)
+	}
+}
+
+func renderHistory(w io.Writer, h History) {
+	for _, e := range h.Events {
+		var detail []string
+		for _, k := range slices.Sorted(maps.Keys(e.Detail)) {
+			detail = append(detail, k+"="+e.Detail[k])
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\trevision %d\tterm %d\t%s\t%s\n", at(e.AtMs), e.Kind, e.Service,
+			e.Revision, e.Term, e.Cause, strings.Join(detail, " "))
+	}
+	for _, c := range h.Changes {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", at(c.AtMs), c, c.Cause)
+	}
+}
+
+func at(unixMs int64) string { return time.UnixMilli(unixMs).UTC().Format("2006-01-02T15:04:05.000Z") }
+
+func renderError(w io.Writer, err error, asJSON bool) {
+	var body *ErrorBody
+	if !errors.As(err, &body) {
+		body = &ErrorBody{Code: "client", Message: err.Error()}
+	}
+	if asJSON {
+		// A failure to write the failure has nowhere to go.
+		_ = json.NewEncoder(w).Encode(envelope{body})
+		return
+	}
+	if len(body.Faults) == 0 {
+		fmt.Fprintf(w, "%s: %s\n", body.Code, body.Message)
+		return
+	}
+	fmt.Fprintf(w, "%s:\n", body.Code)
+	for _, f := range body.Faults {
+		fmt.Fprintf(w, "  %s\n", f.Error())
+	}
+}
