Run both deployments in a demo, and spread requests after a loss

Cause: waiting requests for a lost node's keys returned at one instant and overran the new owners' queues; idempotent requests whose connection broke were answered outcome-unknown after 800 ms although a retry was allowed. Change: module demo (22 nodes, stand-ins, load, faults, checks); waiting requests return spread over 100 ms; a broken idempotent request is sent again after the table was refreshed.

--- /dev/null
+++ b/demo/deployment.go
@@ -0,0 +1,71 @@
+package demo
+
+import (
+	"net/http"
+	"time"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/load"
+	"marjoramshore.example/standin/backend"
+)
+
+// service is one service of a deployment.
+type service struct {
+	name    core.Service
+	servers int
+	// rate is the number of requests a second that the demo sends.
+	rate float64
+	mix  []load.Class
+	// swing is the demand swing of the demo.
+	swing load.Swing
+}
+
+// deployment is one customer's installation, with the sizes of today.
+type deployment struct {
+	name     string
+	region   core.Region
+	backend  backend.Config
+	services []service
+}
+
+func lookup(path string, share float64) load.Class {
+	return load.Class{Name: "lookup", Share: share, Method: http.MethodGet, Path: path, Idempotent: true, Deadline: 2 * time.Second}
+}
+
+func submit(path string, share float64) load.Class {
+	return load.Class{Name: "submission", Share: share, Method: http.MethodPost, Path: path, BodyBytes: 300, Once: true, Deadline: 2 * time.Second}
+}
+
+func upload(path string, share float64) load.Class {
+	return load.Class{Name: "upload", Share: share, Method: http.MethodPost, Path: path, Kind: "long", BodyBytes: 2 << 20, Once: true, Deadline: 20 * time.Second}
+}
+
+// times are the service times of the stand-in backend servers.
+var times = []backend.PathTime{
+	{Prefix: "/short", Time: backend.Dist{Median: 3 * time.Millisecond, Sigma: 0.3}},
+	{Prefix: "/long", Time: backend.Dist{Median: 400 * time.Millisecond, Sigma: 0.4}},
+}
+
+// deployments returns the two installations of today.
+func deployments() []deployment {
+	return []deployment{{
+		name: "lammasmarkkina", region: "fi-south",
+		backend: backend.Config{Slots: 17, Connections: 130, Times: times, ProbeTime: 6 * time.Millisecond, ChecksTokens: true},
+		services: []service{
+			{name: "hintapalvelu", servers: 8, rate: 500,
+				mix:   []load.Class{lookup("/short/price", 0.85), submit("/short/submit", 0.14), upload("/long/sale-sheet", 0.01)},
+				swing: load.Swing{From: 2 * time.Second, To: 4 * time.Second, Factor: 3}},
+			{name: "raportit", servers: 4, rate: 100, mix: []load.Class{lookup("/short/report", 1)}},
+		},
+	}, {
+		name: "muscat", region: "om-north",
+		backend: backend.Config{Slots: 12, Connections: 110, Times: times, LoadLag: 5 * time.Second},
+		services: []service{
+			{name: "tile-service", servers: 6, rate: 350,
+				mix:   []load.Class{lookup("/short/tile", 0.97), submit("/short/licence", 0.03)},
+				swing: load.Swing{From: 6 * time.Second, To: 8 * time.Second, Factor: 3}},
+			{name: "ingest-service", servers: 4, rate: 60,
+				mix: []load.Class{lookup("/short/footprint", 0.75), submit("/short/delivery", 0.2), upload("/long/point-cloud", 0.05)}},
+		},
+	}}
+}
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,150 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"marjoramshore.example/admission"
+	"marjoramshore.example/core"
+	"marjoramshore.example/node"
+	"marjoramshore.example/standin/backend"
+	"marjoramshore.example/standin/platform"
+	"marjoramshore.example/store"
+	"marjoramshore.example/storehttp"
+)
+
+// dataCentres is the number of data centres of each region today.
+const dataCentres = 4
+
+// vm is one backend server with the node beside it.
+type vm struct {
+	service core.Service
+	backend *backend.Server
+	node    *node.Node
+	gone    bool
+}
+
+// fleet is everything that the demo runs.
+type fleet struct {
+	platform *platform.Platform
+	store    *http.Server
+	storeURL string
+	vms      []*vm
+}
+
+func startFleet(list []deployment) (*fleet, error) {
+	f := &fleet{platform: platform.New(1)}
+	f.platform.SetFaults(platform.Faults{Latency: 2 * time.Millisecond, Jitter: 2 * time.Millisecond})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, core.Wrap(core.CodeUnavailable, err, "demo: store listener")
+	}
+	f.store = &http.Server{Handler: platform.Handler(f.platform), ReadHeaderTimeout: 10 * time.Second}
+	f.storeURL = "http://" + ln.Addr().String()
+	go func() { _ = f.store.Serve(ln) }()
+	for _, d := range list {
+		if err := f.startDeployment(d); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) startDeployment(d deployment) error {
+	known := map[core.Service]uint32{}
+	for _, s := range d.services {
+		known[s.name] = 1
+	}
+	for _, s := range d.services {
+		for i := range s.servers {
+			v, err := f.startVM(d, s, i, known)
+			if err != nil {
+				return err
+			}
+			f.vms = append(f.vms, v)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startVM(d deployment, s service, i int, known map[core.Service]uint32) (*vm, error) {
+	cfg := d.backend
+	cfg.Service, cfg.Seed = string(s.name), uint64(i)
+	b := backend.New(cfg)
+	if err := b.Start("127.0.0.1:0"); err != nil {
+		return nil, core.Wrap(core.CodeUnavailable, err, "demo: backend server")
+	}
+	client, err := storehttp.New(storehttp.Config{BaseURL: f.storeURL})
+	if err != nil {
+		b.Close()
+		return nil, err
+	}
+	n, err := node.New(node.Config{
+		Node: core.NodeID(fmt.Sprintf("%s-%02d", s.name, i)), Region: d.region,
+		DataCentre: core.DataCentre(fmt.Sprintf("%s-%d", d.region, i%dataCentres)), Service: s.name,
+		CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", BackendAddress: b.Addr(),
+		PeerKey: []byte("demo-key-0123456789abcdef01234567"), Store: client, StoreBudget: store.Config{},
+		Admission: admission.Config{Slots: cfg.Slots, Connections: cfg.Connections, Seed: uint64(i)},
+		Services:  known,
+	})
+	if err != nil {
+		b.Close()
+		return nil, err
+	}
+	n.Start()
+	return &vm{service: s.name, backend: b, node: n}, nil
+}
+
+// of returns the running VMs of a service.
+func (f *fleet) of(s core.Service) []*vm {
+	var out []*vm
+	for _, v := range f.vms {
+		if v.service == s && !v.gone {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// awaitOwners waits until every node serves a part of its key space.
+func (f *fleet) awaitOwners(ctx context.Context) error {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		ready := 0
+		for _, v := range f.vms {
+			if s := v.node.Lease(); s != nil && len(s.Own) > 0 {
+				ready++
+			}
+		}
+		if ready == len(f.vms) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return core.Fail(core.CodeUnavailable, fmt.Sprintf("demo: %d of %d nodes own keys", ready, len(f.vms)))
+		}
+	}
+}
+
+// lose kills a VM without warning: node and backend server at once.
+func (f *fleet) lose(v *vm) {
+	v.gone = true
+	v.node.Kill()
+	v.backend.Crash()
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		if !v.gone {
+			v.node.Kill()
+		}
+		v.backend.Close()
+	}
+	_ = f.store.Close()
+}
--- a/entrance/router.go
+++ b/entrance/router.go
@@ -17,6 +17,10 @@
 	Exchange(ctx context.Context, addr string, req *core.Request) (*core.Response, error)
 }
 
+// spreadOver is the time over which waiting requests return. 100 ms lets 17
+// slots at 3 ms work off more than 500 of them.
+const spreadOver = 100 * time.Millisecond
+
 // Config joins a Router to its surroundings.
 type Config struct {
 	Self   core.Member
@@ -109,14 +113,15 @@
 		case routing.RetryOwner:
 			x.hint = d.Owner
 			x.r.cfg.Tables.Refresh(route.Group)
-		case routing.RefreshTable, routing.WaitForOwner:
-			wait := min(d.Wait, x.r.policy.MaxWait)
-			if d.Action == routing.RefreshTable {
-				wait = fetchTimeout
-			}
-			if !x.await(ctx, seen, route, wait) {
+		case routing.RefreshTable:
+			// The same owner may answer: its connection broke, or it is the
+			// table that was old.
+			x.await(ctx, seen, route, fetchTimeout)
+		case routing.WaitForOwner:
+			if !x.await(ctx, seen, route, min(d.Wait, x.r.policy.MaxWait)) {
 				return nil, x.stop(err, core.CodeNoOwner, x.r.policy.Jitter(0))
 			}
+			x.spread(ctx)
 		default:
 			return nil, x.stop(err, d.Code, d.Wait)
 		}
@@ -189,6 +194,18 @@
 	return resp, err
 }
 
+// spread delays a request that waited for an owner. All requests for a lost
+// node's keys learn of its successor at once, and together they would overrun
+// its queue.
+func (x *journey) spread(ctx context.Context) {
+	timer := time.NewTimer(rand.N(spreadOver))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // await waits until another owner may be known. It returns false when the wait
 // ended without one, or too many requests wait already.
 func (x *journey) await(ctx context.Context, seen *published, route routing.Route, wait time.Duration) bool {
--- a/load/fire.go
+++ b/load/fire.go
@@ -5,7 +5,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,7 +25,7 @@
 
 // fire sends one request, and resends it as its class allows.
 func (r *Runner) fire(ctx context.Context, s shot) {
-	id := "load-" + strconv.FormatUint(r.cfg.Seed, 36) + "-" + strconv.FormatUint(s.seq, 36)
+	id := string(r.cfg.Service) + "-" + strconv.FormatUint(r.cfg.Seed, 36) + "-" + strconv.FormatUint(s.seq, 36)
 	var last sample
 	attempts := 1
 	if s.class.Once {
@@ -54,15 +56,14 @@
 	ctx, cancel := context.WithTimeout(ctx, deadline+time.Second)
 	defer cancel()
 	target := r.cfg.Targets[(s.target+attempt)%len(r.cfg.Targets)]
+	direct := target
 	if r.cfg.FollowHints && attempt == 0 {
-		target = r.hints.get(s.key, target)
+		direct = r.hints.get(s.key, target)
 	}
-	req, digest, err := r.request(ctx, s, target, out.id, deadline)
-	if err != nil {
-		out.outcome = outcomeConnLost
-		return out
+	resp, digest, err := r.exchange(ctx, s, direct, out.id, deadline)
+	if direct != target && notSent(err) {
+		resp, digest, err = r.exchange(ctx, s, target, out.id, deadline)
 	}
-	resp, err := r.client.Do(req)
 	if err != nil {
 		out.outcome = outcomeConnLost
 		return out
@@ -82,6 +83,22 @@
 	return out
 }
 
+func (r *Runner) exchange(ctx context.Context, s shot, target, id string, deadline time.Duration) (*http.Response, string, error) {
+	req, digest, err := r.request(ctx, s, target, id, deadline)
+	if err != nil {
+		return nil, "", err
+	}
+	resp, err := r.client.Do(req)
+	return resp, digest, err
+}
+
+// notSent reports whether the connection could not be opened, as when a
+// remembered owner has stopped.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 func (r *Runner) request(ctx context.Context, s shot, target, id string, deadline time.Duration) (*http.Request, string, error) {
 	c := s.class
 	var body io.Reader
