--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,155 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/rcrowley/go-metrics"
+
+	"marjoramshore.example/ring"
+)
+
+// Error reports that metrics cannot be registered or served.
+type Error struct {
+	What  string
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "telemetry: " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// RegisterRing registers the counters of a ring as ring_NAME_len, _cap,
+// _high_water, _pushed, _refused and _dropped.
+func RegisterRing(r metrics.Registry, name string, stats func() ring.Stats) error {
+	for suffix, value := range map[string]func(ring.Stats) int64{
+		"len":        func(s ring.Stats) int64 { return int64(s.Len) },
+		"cap":        func(s ring.Stats) int64 { return int64(s.Cap) },
+		"high_water": func(s ring.Stats) int64 { return int64(s.HighWater) },
+		"pushed":     func(s ring.Stats) int64 { return int64(s.Pushed) },
+		"refused":    func(s ring.Stats) int64 { return int64(s.Refused) },
+		"dropped":    func(s ring.Stats) int64 { return int64(s.Dropped) },
+	} {
+		if err := RegisterGauge(r, "ring_"+name+"_"+suffix, func() int64 { return value(stats()) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RegisterGauge registers a value that is read when metrics are served.
+func RegisterGauge(r metrics.Registry, name string, value func() int64) error {
+	if err := r.Register(name, metrics.NewFunctionalGauge(value)); err != nil {
+		return &Error{What: "register " + name, Cause: err}
+	}
+	return nil
+}
+
+// quantiles are served for histograms and timers.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// WriteMetrics writes every metric of r, ordered by name, in the Prometheus
+// text format. Timers are in seconds.
+func WriteMetrics(w io.Writer, r metrics.Registry) {
+	all := map[string]any{}
+	var names []string
+	r.Each(func(name string, m any) {
+		all[name] = m
+		names = append(names, name)
+	})
+	slices.Sort(names)
+	for _, name := range names {
+		writeMetric(w, metricName(name), all[name])
+	}
+}
+
+func writeMetric(w io.Writer, name string, m any) {
+	switch m := m.(type) {
+	case metrics.Counter:
+		writeValue(w, name, "counter", m.Count())
+	case metrics.Gauge:
+		writeValue(w, name, "gauge", m.Value())
+	case metrics.GaugeFloat64:
+		writeValue(w, name, "gauge", m.Value())
+	case metrics.Meter:
+		writeValue(w, name, "counter", m.Count())
+	case metrics.Histogram:
+		s := m.Snapshot()
+		writeSummary(w, name, s.Count(), float64(s.Sum()), s.Percentiles(quantiles), 1)
+	case metrics.Timer:
+		s := m.Snapshot()
+		writeSummary(w, name+"_seconds", s.Count(), float64(s.Sum()), s.Percentiles(quantiles), float64(time.Second))
+	}
+}
+
+func writeValue(w io.Writer, name, kind string, v any) {
+	fmt.Fprintf(w, "# TYPE %s %s\n%s %v\n", name, kind, name, v)
+}
+
+func writeSummary(w io.Writer, name string, count int64, sum float64, values []float64, unit float64) {
+	fmt.Fprintf(w, "# TYPE %s summary\n", name)
+	for i, q := range quantiles {
+		fmt.Fprintf(w, "%s{quantile=\"%v\"} %v\n", name, q, values[i]/unit)
+	}
+	fmt.Fprintf(w, "%s_sum %v\n%s_count %d\n", name, sum/unit, name, count)
+}
+
+func metricName(name string) string {
+	return strings.Map(func(c rune) rune {
+		if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '_' || c == ':' {
+			return c
+		}
+		return '_'
+	}, name)
+}
+
+// MetricsHandler serves the metrics of r.
+func MetricsHandler(r metrics.Registry) app.HandlerFunc {
+	return func(_ context.Context, c *app.RequestContext) {
+		var b strings.Builder
+		WriteMetrics(&b, r)
+		c.Data(200, "text/plain; version=0.0.4; charset=utf-8", []byte(b.String()))
+	}
+}
+
+// MetricsServer serves GET /metrics on one listener.
+type MetricsServer struct{ engine *server.Hertz }
+
+// NewMetricsServer returns a server on ln for the metrics of r.
+func NewMetricsServer(ln net.Listener, r metrics.Registry) *MetricsServer {
+	h := server.New(
+		server.WithListener(ln), server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(1<<10), server.WithMaxHeaderBytes(8<<10),
+		server.WithReadTimeout(10*time.Second), server.WithWriteTimeout(10*time.Second),
+		server.WithIdleTimeout(time.Minute), server.WithExitWaitTime(time.Second),
+		server.WithDisablePrintRoute(true),
+	)
+	h.GET("/metrics", MetricsHandler(r))
+	return &MetricsServer{engine: h}
+}
+
+// Serve answers requests until Shutdown.
+func (s *MetricsServer) Serve() error {
+	if err := s.engine.Engine.Run(); err != nil {
+		return &Error{What: "serve metrics", Cause: err}
+	}
+	return nil
+}
+
+// Shutdown stops the server.
+func (s *MetricsServer) Shutdown(ctx context.Context) error {
+	if err := s.engine.Shutdown(ctx); err != nil {
+		return &Error{What: "stop serving metrics", Cause: err}
+	}
+	return nil
+}
