Add the command line, the configuration duty and operator control

Cause: operators need intent, plan and confirm on any node, and a change must be in force everywhere as a fact that can be reported. Change: module configsync (watch by coordinators, pull by members, lease only under the current revision), module control (plan, conditional confirm, status, explain, drain, quarantine), module cli with flaggy.

--- a/cmd/marjoramshore/main.go
+++ b/cmd/marjoramshore/main.go
@@ -2,16 +2,9 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
 
-	"marjoramshore.example/demo"
+	"marjoramshore.example/cli"
 )
 
-func main() {
-	if err := demo.Run(context.Background(), demo.Options{Out: os.Stdout}); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/entrance/tables.go
+++ b/entrance/tables.go
@@ -47,6 +47,8 @@
 	spans []routing.Span
 	// done marks the end of a fetch that found nothing newer.
 	done bool
+	// forget removes the service.
+	forget bool
 }
 
 func (m tableMessage) key() uint64 {
@@ -58,6 +60,8 @@
 		return k + 2
 	case m.done:
 		return k + 3
+	case m.forget:
+		return k + 1 // replaces queued spans of the service
 	}
 	return k
 }
@@ -69,7 +73,7 @@
 	pool    *ants.Pool
 	current atomic.Pointer[published]
 
-	// Owned by Run's goroutine.
+	// Owned by Run's goroutine, and bounded by the groups of the view.
 	fetching map[core.GroupID]bool
 	fetched  map[core.GroupID]time.Time
 }
@@ -106,6 +110,11 @@
 	_ = t.in.Push(context.Background(), tableMessage{group: core.GroupID{Service: s}, spans: spans})
 }
 
+// Forget removes a service that is no longer declared.
+func (t *Tables) Forget(s core.Service) {
+	_ = t.in.Push(context.Background(), tableMessage{group: core.GroupID{Service: s}, forget: true})
+}
+
 // Refresh asks for a newer table of a group.
 func (t *Tables) Refresh(g core.GroupID) {
 	_ = t.in.Push(context.Background(), tableMessage{group: g})
@@ -130,6 +139,8 @@
 		}
 	case m.done:
 		delete(t.fetching, m.group)
+	case m.forget:
+		t.publish(t.View().Without(m.group.Service))
 	default:
 		t.refresh(ctx, m.group)
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"marjoramshore.example/control"
 	"marjoramshore.example/core"
 	"marjoramshore.example/groupwire"
 	"marjoramshore.example/ownership"
@@ -20,9 +21,12 @@
 
 func (n *Node) calls() map[string]transport.CallFunc {
 	return map[string]transport.CallFunc{
-		callGroup:    n.receiveGroup,
-		callTable:    n.answerTable,
-		callHandOver: n.receiveHandOver,
+		callGroup:              n.receiveGroup,
+		callTable:              n.answerTable,
+		callHandOver:           n.receiveHandOver,
+		callConfig:             n.answerConfig,
+		control.MethodRevision: func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ReportRevision(ctx, b) },
+		control.MethodExplain:  func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ExplainOwned(ctx, b) },
 	}
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"marjoramshore.example/admission"
 	"marjoramshore.example/core"
 	"marjoramshore.example/once"
@@ -45,6 +47,18 @@
 	// Services are the services known from the start, with the number of
 	// their groups. Declared services are learned from the configuration.
 	Services map[core.Service]uint32
+	// OperatorListen is the host:port for operators; empty serves none.
+	OperatorListen string
+	// MetricsListen is the host:port for metrics; empty serves none.
+	MetricsListen string
+	// HeaderBytes bounds the head of a caller's request.
+	HeaderBytes int
+	// Log receives the events of the node; nil discards them.
+	Log log.Interface
+	// ReadToken and ChangeToken authorise operators.
+	ReadToken, ChangeToken string
+	// OperatorBytes bounds the body of an operator's request.
+	OperatorBytes int
 	// ProbeInterval is the time between probes of the backend server.
 	ProbeInterval time.Duration
 }
--- /dev/null
+++ b/node/fromsettings.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"marjoramshore.example/admission"
+	"marjoramshore.example/once"
+	"marjoramshore.example/ownership"
+	"marjoramshore.example/settings"
+	"marjoramshore.example/store"
+	"marjoramshore.example/storehttp"
+)
+
+// FromSettings returns the configuration that a settings file describes.
+func FromSettings(s settings.Settings) (Config, error) {
+	client, err := storehttp.New(storehttp.Config{BaseURL: s.Store.URL, Timeout: s.Store.Timeout})
+	if err != nil {
+		return Config{}, err
+	}
+	timing := ownership.DefaultTiming()
+	timing.Heartbeat, timing.Promise = s.Timing.Heartbeat, s.Timing.Promise
+	timing.Member, timing.Term = s.Timing.Lease, s.Timing.Term
+	return Config{
+		Node: s.Node, Region: s.Region, DataCentre: s.DataCentre, Service: s.Service,
+		CallerListen: s.Listen.Caller.String(), PeerListen: s.Listen.Peer.String(),
+		OperatorListen: s.Listen.Operator.String(), MetricsListen: s.Listen.Metrics.String(),
+		CallerAddress: s.Advertise.Caller.String(), PeerAddress: s.Advertise.Peer.String(),
+		BackendAddress: s.Backend.String(), PeerKey: []byte(s.PeerKey.Reveal()),
+		ReadToken: s.ReadToken.Reveal(), ChangeToken: s.ChangeToken.Reveal(), OperatorBytes: s.Limits.OperatorBytes,
+		Store: client,
+		StoreBudget: store.Config{
+			CallsPerSecond: float64(s.Store.CallsPerMinute) / 60, CallTimeout: s.Store.Timeout,
+			Calls: s.Pools.StoreCalls, Watches: s.Pools.StoreWatches,
+		},
+		Timing:      timing,
+		Admission:   admission.Config{QueueSize: s.Limits.QueuedRequests},
+		Once:        once.Config{MaxBytes: s.Limits.RecordBytes},
+		MaxWaiting:  s.Limits.WaitingRequests,
+		MaxConns:    s.Limits.Connections,
+		HeaderBytes: s.Limits.HeaderBytes,
+	}, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -8,11 +8,14 @@
 	"time"
 
 	"marjoramshore.example/clock"
+	"marjoramshore.example/configsync"
+	"marjoramshore.example/control"
 	"marjoramshore.example/core"
 	"marjoramshore.example/entrance"
 	"marjoramshore.example/frontend"
 	"marjoramshore.example/gate"
 	"marjoramshore.example/lease"
+	"marjoramshore.example/operator"
 	"marjoramshore.example/owner"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/routing"
@@ -37,6 +40,12 @@
 	owner    *owner.Owner
 	gate     *gate.Gate
 	frontend *frontend.Frontend
+	config   *configsync.Duty
+	control  *control.Control
+	weights  atomic.Pointer[weights]
+	// operators is nil when the node has no operator address.
+	operators    *operator.Server
+	operatorAddr string
 	// lease is nil until the backend server has announced itself.
 	lease atomic.Pointer[lease.Duty]
 
@@ -56,7 +65,7 @@
 		cfg.ProbeInterval = 250 * time.Millisecond
 	}
 	n := &Node{cfg: cfg, clock: clock.NewReal(), left: make(chan struct{})}
-	steps := []func() error{n.openStore, n.openPeers, n.openOwner, n.openEntrance}
+	steps := []func() error{n.openStore, n.openPeers, n.openOwner, n.openEntrance, n.openConfig, n.openOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			n.abort()
@@ -121,7 +130,7 @@
 		return err
 	}
 	n.frontend, err = frontend.New(frontend.Config{
-		Addr: n.cfg.CallerListen, MaxConns: n.cfg.MaxConns,
+		Addr: n.cfg.CallerListen, MaxConns: n.cfg.MaxConns, MaxHeaderBytes: n.cfg.HeaderBytes,
 		Handler: core.HandlerFunc(func(ctx context.Context, req *core.Request) (*core.Response, error) {
 			return n.router.Serve(ctx, req)
 		}),
@@ -132,7 +141,7 @@
 	n.self.CallerAddress = or(n.self.CallerAddress, n.frontend.Addr())
 	n.owner = owner.New(owner.Config{
 		Self: n.self, Clock: n.clock, Lease: n.Lease, Gate: n.gate,
-		Admission: n.cfg.Admission, Once: n.cfg.Once,
+		Admission: n.cfg.Admission, Once: n.cfg.Once, Weight: n.weight,
 	})
 	n.router = entrance.NewRouter(entrance.Config{
 		Self: n.self, Tables: n.tables, Peers: n.peers, Local: n.owner,
@@ -141,6 +150,11 @@
 	return nil
 }
 
+func (n *Node) openConfig() (err error) {
+	n.config, err = configsync.New(configsync.Config{Store: n.store, Pull: n.pullConfig, Apply: n.applyConfig})
+	return err
+}
+
 // abort closes what New opened before it failed.
 func (n *Node) abort() {
 	if n.server != nil {
@@ -158,11 +172,17 @@
 	n.run(func() { n.sender.run(ctx) })
 	n.run(func() { n.tables.Run(ctx) })
 	n.run(func() { n.owner.Run(ctx) })
+	n.run(func() { n.config.Run(ctx) })
+	n.run(func() { n.control.Run(ctx) })
+	n.tables.SetSpans(n.cfg.Service, spans(1))
 	for s, groups := range n.cfg.Services {
 		n.tables.SetSpans(s, spans(groups))
 	}
 	n.server.Start()
 	n.frontend.Start()
+	if n.operators != nil {
+		n.run(func() { _ = n.operators.Serve() })
+	}
 	n.run(func() { n.followBackend(ctx) })
 }
 
@@ -227,6 +247,7 @@
 		n.tables.Learn(s.Table)
 	}
 	n.owner.LeaseChanged(ctx, s)
+	n.config.Follow(s)
 	if s.Reason == ownership.ReasonLeft {
 		n.leftOnce.Do(func() { close(n.left) })
 	}
--- a/node/stop.go
+++ b/node/stop.go
@@ -66,6 +66,11 @@
 
 // Kill closes everything at once, as a lost VM does.
 func (n *Node) Kill() {
+	if n.operators != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = n.operators.Shutdown(ctx)
+		cancel()
+	}
 	_ = n.frontend.Close()
 	_ = n.server.Close()
 	n.cancel()
--- a/ownership/node.go
+++ b/ownership/node.go
@@ -284,6 +284,9 @@
 		Group: n.cfg.Group, Term: n.term, Coordinator: n.coordinator, Table: n.m.table,
 		LeaseEnd: n.leaseEnd(), WantRevision: n.wantRevision, Reason: n.reason(),
 	}
+	if n.rec != nil {
+		s.Successors = n.rec.Successors
+	}
 	if n.c != nil {
 		s.Coordinates, s.Authority, s.Unwritten = true, n.authorityEnd(), n.c.unwritten
 	}
--- a/ownership/snapshot.go
+++ b/ownership/snapshot.go
@@ -25,6 +25,8 @@
 	// Term and Coordinator are the newest known ones; Coordinator may be zero.
 	Term        uint64
 	Coordinator core.Member
+	// Successors are those of the newest group record known here.
+	Successors []Run
 	// Table is the newest table that this node holds, or nil.
 	Table *core.Table
 	// Own lists the ranges that the node serves until LeaseEnd, ordered.
@@ -69,5 +71,5 @@
 	return o != nil && s.Table == o.Table && s.LeaseEnd == o.LeaseEnd && s.Reason == o.Reason &&
 		s.Term == o.Term && s.Coordinator == o.Coordinator && s.Coordinates == o.Coordinates &&
 		s.Authority == o.Authority && s.Unwritten == o.Unwritten && s.WantRevision == o.WantRevision &&
-		slices.Equal(s.Own, o.Own) && slices.Equal(s.Moving, o.Moving)
+		slices.Equal(s.Own, o.Own) && slices.Equal(s.Successors, o.Successors) && slices.Equal(s.Moving, o.Moving)
 }
