--- a/store/duty_test.go
+++ b/store/duty_test.go
@@ -257,3 +257,20 @@
 		must.Eq(b, store.KindBudget, kind(err))
 	})
 }
+
+// Measures a read of last known state through the duty's ring.
+func BenchmarkDoFromMemory(b *testing.B) {
+	p := platform.New(1)
+	d, err := store.NewDuty(store.Config{}, p)
+	must.NoError(b, err)
+	go d.Run(b.Context())
+	_, err = d.Do(b.Context(), store.Op{Kind: store.OpPut, Key: "k"})
+	must.NoError(b, err)
+	op := store.Op{Kind: store.OpGet, Key: "k", MaxAge: time.Hour}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := d.Do(b.Context(), op); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -158,3 +158,14 @@
 	must.NoError(t, s.Shutdown(context.Background()))
 	must.NoError(t, <-done)
 }
+
+// Measures what an event costs the goroutine that logs it.
+func BenchmarkHandleLog(b *testing.B) {
+	l := NewLog(LogConfig{}, io.Discard)
+	go l.Run(b.Context())
+	logger := l.Logger("info")
+	b.ReportAllocs()
+	for b.Loop() {
+		logger.WithFields(log.Fields{"service": "hintapalvelu", "term": 7}).Info("lease renewed")
+	}
+}
