--- a/admission/admission.go
+++ b/admission/admission.go
@@ -42,6 +42,9 @@
 	Verdict Verdict
 	// ID is set for Admit and Queue.
 	ID ID
+	// KnownShort is set for Admit when the request's path has proved to be
+	// short, so that silence tells something about the backend server.
+	KnownShort bool
 	// Code and RetryAfter are set for Refuse. Every code proves that the
 	// request did not run.
 	Code       core.Code
@@ -52,6 +55,8 @@
 type Start struct {
 	ID  ID
 	Ref any
+	// KnownShort has the meaning it has in Decision.
+	KnownShort bool
 }
 
 // Refusal is a queued ticket that is refused now. Its ID is no longer valid.
@@ -107,8 +112,8 @@
 	// Expire returns tickets that start and queued tickets that are refused
 	// because of the passage of time. See Next.
 	Expire(now clock.Instant) ([]Start, []Refusal)
-	// Next returns the time until Expire is due. Zero means no call is needed
-	// before the next Offer.
+	// Next returns the time from the last Expire until the next is due. Zero
+	// means that none is needed. Every other call can change it.
 	Next() time.Duration
 	// Drain refuses all queued tickets and every later Offer. Started
 	// exchanges continue.
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -84,7 +84,7 @@
 	if q.n == 0 && c.hasSlot(e.class) {
 		q.charge(e.flow, e.estimate)
 		c.start(now, i)
-		return Decision{Verdict: Admit, ID: c.pool.id(i)}
+		return Decision{Verdict: Admit, ID: c.pool.id(i), KnownShort: e.knownShort()}
 	}
 	return c.enqueue(now, i, &t)
 }
@@ -97,7 +97,7 @@
 		// that it is short. See promote.
 		e.class = long
 	}
-	e.ref, e.queuedAt, e.weight = t.Ref, now, t.Weight
+	e.ref, e.weight = t.Ref, t.Weight
 	e.customer = uint64(core.HashKey(string(t.Customer)))
 	e.flow = c.queues[e.class].find(e.customer, t.Weight)
 	e.deadline = t.Deadline
@@ -232,8 +232,10 @@
 // Next implements Policy.
 func (c *Controller) Next() time.Duration {
 	switch {
-	case c.queues[short].n+c.queues[long].n > 0 || c.parked.head != none:
+	case c.queues[short].n > 0 || c.parked.head != none:
 		return 2 * time.Millisecond
+	case c.queues[long].n > 0:
+		return 20 * time.Millisecond
 	case c.running[short] > 0:
 		return c.classify.threshold()
 	default:
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -159,6 +159,35 @@
 	must.GreaterEq(t, 0.95*best, ours)
 }
 
+// Guards against a limit that ignores refusals by the backend server, and
+// against one that a few failures of long work bring down.
+func TestLimitFollowsFailures(t *testing.T) {
+	run := func(every int, r Result) int {
+		l, now := newLimiter(17), clock.Instant(0)
+		for n := range 2000 {
+			now = now.Add(5 * time.Millisecond)
+			if n%every == 0 {
+				l.result(r)
+			} else {
+				l.result(OK)
+				l.observe(now, 5*time.Millisecond)
+			}
+			l.use(17)
+			l.roll(now)
+		}
+		return l.limit()
+	}
+	must.EqOp(t, limitMin, run(3, Shed))
+	must.EqOp(t, 17, run(3, Failed))
+	must.EqOp(t, limitMin, run(1, Failed))
+	l := newLimiter(17)
+	for now := clock.Instant(0); now < clock.Instant(time.Minute); now = now.Add(time.Second) {
+		l.result(Failed)
+		l.roll(now)
+	}
+	must.EqOp(t, 17, l.limit())
+}
+
 // Guards against work that was declared short, runs long and keeps its class.
 func TestReclassification(t *testing.T) {
 	c := New(Config{Slots: 17, Connections: 130})
--- a/admission/fifo.go
+++ b/admission/fifo.go
@@ -73,7 +73,7 @@
 		i := f.take(f.queue.head)
 		e := &f.pool.entries[i]
 		f.begin(e)
-		f.starts = append(f.starts, Start{f.pool.id(i), e.ref})
+		f.starts = append(f.starts, Start{ID: f.pool.id(i), Ref: e.ref})
 	}
 	return f.starts
 }
--- a/admission/history.go
+++ b/admission/history.go
@@ -132,6 +132,12 @@
 	}
 }
 
+// trusted reports whether a path is known to be short.
+func (k *classifier) trusted(path uint64) bool {
+	c := k.paths.get(path, 1)
+	return c != nil && c.long <= mixedShare
+}
+
 // observe records a service time. Only keys that ran long enter the key
 // history, because the common keys would displace them.
 func (k *classifier) observe(e *entry, d time.Duration) {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -14,6 +14,7 @@
 	limitDecrease   = 0.8
 	failedShare     = 0.5 // errors are often the fault of the request
 	shedShare       = 0.1 // a refusal because of load is not
+	failedMin       = 8   // fewer failures in a window prove nothing
 	slowTolerance   = 1.4
 	reportTolerance = 1.2
 	reportValid     = time.Second
@@ -49,6 +50,7 @@
 	raisedAt     clock.Instant
 	since        clock.Instant
 	n            int
+	ok           int // of any class
 	failed, shed int
 	sum, squares float64
 	saturated    bool
@@ -77,6 +79,8 @@
 // result notes the end of an exchange of any class.
 func (l *limiter) result(r Result) {
 	switch r {
+	case OK:
+		l.ok++
 	case Failed:
 		l.failed++
 	case Shed:
@@ -97,7 +101,7 @@
 
 // roll ends the observation window when it is long enough.
 func (l *limiter) roll(now clock.Instant) {
-	total := l.n + l.failed + l.shed
+	total := l.ok + l.failed + l.shed
 	age := now.Sub(l.since)
 	if age < limitWindow || total < limitSamples && age < 10*limitWindow {
 		return
@@ -105,11 +109,13 @@
 	if total > 0 {
 		l.judge(now, float64(total))
 	}
-	l.since, l.n, l.failed, l.shed, l.sum, l.squares, l.saturated = now, 0, 0, 0, 0, 0, false
+	l.since, l.n, l.sum, l.squares = now, 0, 0, 0
+	l.ok, l.failed, l.shed, l.saturated = 0, 0, 0, false
 }
 
 func (l *limiter) judge(now clock.Instant, total float64) {
-	if float64(l.shed) > shedShare*total || float64(l.failed) > failedShare*total {
+	bad := float64(l.shed) > shedShare*total || float64(l.failed) > failedShare*total
+	if bad && l.failed+l.shed >= failedMin {
 		l.before, l.gap = 0, raiseGap
 		l.lower()
 		return
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -43,12 +43,14 @@
 	customer   uint64
 	path, key  uint64
 	estimate   time.Duration
-	queuedAt   clock.Instant
 	startBy    clock.Instant
 	deadline   clock.Instant
 	startedAt  clock.Instant
 }
 
+// knownShort reports whether the entry's path has proved to be short.
+func (e *entry) knownShort() bool { return e.class == short && !e.unproven }
+
 // pool holds all entries. Its size is fixed, so decisions do not allocate.
 type pool struct {
 	entries []entry
--- a/admission/schedule.go
+++ b/admission/schedule.go
@@ -131,7 +131,7 @@
 	}
 	q.pop(c.pool)
 	c.start(now, i)
-	c.starts = append(c.starts, Start{c.pool.id(i), e.ref})
+	c.starts = append(c.starts, Start{c.pool.id(i), e.ref, e.knownShort()})
 }
 
 // nowLong decides again about a waiting entry that was not known to be short,
@@ -183,9 +183,12 @@
 }
 
 // promote moves entries that waited as long work, because their path was not
-// known, to the short queue. It runs only when a path without history has its
-// first completions.
+// known, to the short queue. It scans the queue only after the first
+// completions of a path, when the path has become known to be short.
 func (c *Controller) promote(now clock.Instant, path uint64) {
+	if !c.classify.trusted(path) {
+		return
+	}
 	c.scratch = c.scratch[:0]
 	for _, f := range c.queues[long].heap {
 		q := &c.queues[long].flows[f].queue
