Make the settings check agree with the node

Cause: a trial with a 24-character peer key passed the check and was then refused by the transport, which needs 32.

--- a/settings/fields.go
+++ b/settings/fields.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
 	"strconv"
@@ -42,9 +43,9 @@
 	duration("store.timeout_ms", 3000, 100, 60_000, "Time limit of one store call.", func(s *Settings) *time.Duration { return &s.Store.Timeout }),
 	integer("store.calls_per_minute", 30, 1, 6000, "Budget of ordinary store calls.", func(s *Settings) *int { return &s.Store.CallsPerMinute }),
 
-	secret("peer_shared_key", "Key that authenticates nodes to each other.", func(s *Settings) *Secret { return &s.PeerKey }),
-	secret("operator.read_token", "Bearer token for reading.", func(s *Settings) *Secret { return &s.ReadToken }),
-	secret("operator.change_token", "Bearer token for changing; differs from read_token.", func(s *Settings) *Secret { return &s.ChangeToken }),
+	secret("peer_shared_key", 32, "Key that authenticates nodes to each other.", func(s *Settings) *Secret { return &s.PeerKey }),
+	secret("operator.read_token", 16, "Bearer token for reading.", func(s *Settings) *Secret { return &s.ReadToken }),
+	secret("operator.change_token", 16, "Bearer token for changing; differs from read_token.", func(s *Settings) *Secret { return &s.ChangeToken }),
 
 	integer("limits.header_bytes", 32<<10, 1<<10, 1<<20, "Size of a request header.", func(s *Settings) *int { return &s.Limits.HeaderBytes }),
 	integer("limits.connections", 4096, 16, 65536, "Open connections of callers.", func(s *Settings) *int { return &s.Limits.Connections }),
@@ -55,7 +56,7 @@
 
 	duration("timing.heartbeat_ms", 600, 50, 10_000, "Interval of heartbeats.", func(s *Settings) *time.Duration { return &s.Timing.Heartbeat }),
 	duration("timing.promise_ms", 1500, 100, 60_000, "Length of a successor's promise; at least 2 heartbeats.", func(s *Settings) *time.Duration { return &s.Timing.Promise }),
-	duration("timing.lease_ms", 2700, 100, 60_000, "Length of a member's lease; at least 2 heartbeats and longer than a promise.", func(s *Settings) *time.Duration { return &s.Timing.Lease }),
+	duration("timing.lease_ms", 2700, 100, 60_000, "Length of a member's lease; at least a promise and a heartbeat.", func(s *Settings) *time.Duration { return &s.Timing.Lease }),
 	duration("timing.term_ms", 1500, 100, 60_000, "Length of the coordinator's term lease in the store; at least 2 heartbeats.", func(s *Settings) *time.Duration { return &s.Timing.Term }),
 
 	integer("pools.store_calls", 4, 1, 64, "Store calls at once.", func(s *Settings) *int { return &s.Pools.StoreCalls }),
@@ -111,11 +112,13 @@
 	}}
 }
 
-func secret(path, doc string, at func(*Settings) *Secret) field {
-	return field{path, "", "a text of 16 to 256 printable ASCII characters without spaces", doc, func(s *Settings, l hujson.Literal) bool {
+// secret is a text of at least shortest characters. The peer key needs 32,
+// because anyone who guesses it can speak as a node.
+func secret(path string, shortest int, doc string, at func(*Settings) *Secret) field {
+	return field{path, "", fmt.Sprintf("a text of %d to 256 printable ASCII characters without spaces", shortest), doc, func(s *Settings, l hujson.Literal) bool {
 		v := l.String()
 		bad := strings.ContainsFunc(v, func(c rune) bool { return c <= ' ' || c > '~' })
-		if l.Kind() != '"' || len(v) < 16 || len(v) > 256 || bad {
+		if l.Kind() != '"' || len(v) < shortest || len(v) > 256 || bad {
 			return false
 		}
 		*at(s) = Secret(v)
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -167,8 +167,8 @@
 	if t.Promise < 2*t.Heartbeat {
 		p.faultAt("timing.promise_ms", "must be at least 2 times timing.heartbeat_ms")
 	}
-	if t.Lease < 2*t.Heartbeat || t.Lease <= t.Promise {
-		p.faultAt("timing.lease_ms", "must be at least 2 times timing.heartbeat_ms and greater than timing.promise_ms")
+	if t.Lease < t.Promise+t.Heartbeat {
+		p.faultAt("timing.lease_ms", "must be at least timing.promise_ms plus timing.heartbeat_ms")
 	}
 	if t.Term < 2*t.Heartbeat {
 		p.faultAt("timing.term_ms", "must be at least 2 times timing.heartbeat_ms")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -73,7 +73,7 @@
 		"18 advertise.peer must be an address that others can reach, not 0.0.0.0",
 		"30 operator.change_token must differ from operator.read_token",
 		"35 timing.promise_ms must be at least 2 times timing.heartbeat_ms",
-		"35 timing.lease_ms must be at least 2 times timing.heartbeat_ms and greater than timing.promise_ms",
+		"35 timing.lease_ms must be at least timing.promise_ms plus timing.heartbeat_ms",
 	}, faultsOf(t, text))
 }
 
