Let a group recover when its coordinator or a member is cut off one way

A coordinator that could not reach its group kept its term through the store, and a member that could send but not receive kept its ranges; both left keys without service for good. Renewals and promise requests now name the newest answer received, and a coordinator without contact stops refreshing its term. A restarted group of 16 was refused as full; former runs no longer count.

--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -23,7 +23,17 @@
 	draining, stopping bool
 	accepted, behind   bool
 	nextDrain          clock.Instant
-	nextShare          clock.Instant
+	// answered is the newest answer that the member has confirmed, stalled
+	// counts renewals since that confirmed no newer one, and reachedAt is when
+	// the newest confirmed answer was sent.
+	answered  uint64
+	stalled   int
+	reachedAt clock.Instant
+	// proven is set once the member has confirmed an answer; a member that
+	// joins gets no ranges before.
+	proven bool
+	sent      [8]sentRenewal
+	nextShare clock.Instant
 }
 
 // coordinator is the state of the node that coordinates a term.
@@ -41,6 +51,8 @@
 	draft     *draft
 	// yielded is set once the coordinator has given up its authority.
 	yielded bool
+	// alone is set while the coordinator goes on without contact to the group.
+	alone bool
 
 	promises    []*promise
 	pairs       []pair
@@ -206,10 +218,12 @@
 	}
 	i.lastHeard = n.now
 	i.behind = r.Revision < n.revision
+	i.confirm(r)
+	i.sent[r.Seq%uint64(len(i.sent))] = sentRenewal{seq: r.Seq, at: n.now}
 	switch {
 	case i.behind:
 		return n.answer(r, RefusedRevision)
-	case i.fenced || !n.hasAuthority():
+	case i.fenced || !n.hasAuthority() || i.stalled >= 2:
 		return n.answer(r, RefusedNoAuthority)
 	}
 	if !i.adopted {
@@ -224,10 +238,23 @@
 	return a
 }
 
+// confirm notes which answers have reached the member. Without this, a member
+// that can send but not receive would keep its ranges and serve none of them.
+func (i *info) confirm(r *Renew) {
+	if r.Answered <= i.answered && i.answered > 0 {
+		i.stalled++
+		return
+	}
+	i.answered, i.stalled = r.Answered, 0
+	if s := i.sent[r.Answered%uint64(len(i.sent))]; s.seq == r.Answered && s.at > 0 {
+		i.reachedAt, i.proven = s.at, true
+	}
+}
+
 // join adds a run to the group. It gets ranges after the next write.
 func (n *Node) join(m core.Member) *info {
 	c := n.c
-	if len(c.infos) >= MaxMembers {
+	if c.nodesBut(m.Node) >= MaxMembers {
 		return nil
 	}
 	for _, p := range c.promises {
@@ -241,6 +268,18 @@
 	return i
 }
 
+// nodesBut counts the distinct nodes of the group other than one. Former runs
+// of a node do not count, so that a whole group can restart.
+func (c *coordinator) nodesBut(node core.NodeID) int {
+	seen := map[core.NodeID]bool{}
+	for _, i := range c.infos {
+		if i.run.Node != node {
+			seen[i.run.Node] = true
+		}
+	}
+	return len(seen)
+}
+
 // memberLeaves reassigns the ranges of a member that declared that it serves
 // nothing any more; its lease need not be waited for.
 func (n *Node) memberLeaves(i *info) {
@@ -260,7 +299,7 @@
 		if n.skipLeaseWait {
 			free = i.lastAnswer.Add(n.t.Heartbeat * 3 / 2)
 		}
-		if !i.behind {
+		if !i.behind && i.stalled < 2 {
 			// A member that is heard renews as soon as there is authority.
 			free = max(free, i.lastHeard.Add(2*n.t.Heartbeat))
 		}
@@ -312,7 +351,11 @@
 	if i.run == n.self {
 		return true
 	}
-	return !i.behind && i.lastHeard > 0 && n.now < i.lastHeard.Add(5*n.t.Heartbeat/2)
+	return i.proven && !i.behind && i.stalled < 2 && n.heardLately(i)
+}
+
+func (n *Node) heardLately(i *info) bool {
+	return i.lastHeard > 0 && n.now < i.lastHeard.Add(5*n.t.Heartbeat/2)
 }
 
 // stepDown makes the coordinator a member without a lease: the new coordinator
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -21,6 +21,7 @@
 	leaseTerm uint64
 	leaseEnd  clock.Instant
 	seq       uint64
+	answered  uint64
 	sent      [16]sentRenewal
 	nextRenew clock.Instant
 	nextFind  clock.Instant
@@ -210,13 +211,15 @@
 	m.seq++
 	m.sent[m.seq%uint64(len(m.sent))] = sentRenewal{seq: m.seq, at: n.now, to: to}
 	r := &Renew{
-		Group: n.cfg.Group, From: n.self, Term: n.term, Seq: m.seq, Revision: n.revision,
+		Group: n.cfg.Group, From: n.self, Term: n.term, Seq: m.seq, Answered: m.answered, Revision: n.revision,
 		Draining: m.draining, Stopping: m.stopping, Leaving: n.leaving(),
 	}
 	if m.table != nil {
 		r.Table = m.table.Version
 	}
-	if m.mustJoin || m.table == nil || indexOf(m.table, n.self) < 0 {
+	// Without a lease the member may have been removed; the coordinator then
+	// knows no address to answer to.
+	if m.mustJoin || n.now >= n.leaseEnd() || m.table == nil || indexOf(m.table, n.self) < 0 {
 		self := n.cfg.Self
 		r.Join = &self
 	}
@@ -233,6 +236,7 @@
 	if a.To != n.self || s.seq != a.Seq || n.c != nil || m.left {
 		return
 	}
+	m.answered = max(m.answered, a.Seq)
 	n.wantRevision = max(n.wantRevision, a.Revision)
 	if a.Removed && n.leaving() {
 		m.left, m.leaseEnd = true, 0
--- a/ownership/messages.go
+++ b/ownership/messages.go
@@ -29,6 +29,9 @@
 	Term uint64
 	// Seq counts the sender's renewals; the answer repeats it.
 	Seq uint64
+	// Answered is the newest Seq whose answer has reached the sender. The
+	// coordinator stops renewing for a member that it cannot reach.
+	Answered uint64
 	// Table is the version of the sender's table; zero when it has none.
 	Table core.Token
 	// Revision is the configuration revision in force at the sender.
@@ -132,6 +135,9 @@
 	Seq   uint64
 	// Version is the store version of the newest confirmed group record.
 	Version uint64
+	// Answered is the newest Seq whose answer has reached the coordinator. A
+	// successor stops promising to a coordinator that it cannot reach.
+	Answered uint64
 	// Revision is the coordinator's configuration revision.
 	Revision core.Revision
 	// Record is set until the successor has acknowledged Version; it then
--- a/ownership/promises.go
+++ b/ownership/promises.go
@@ -23,6 +23,8 @@
 	// until and reassignUntil are counted from when the request was sent.
 	until, reassignUntil clock.Instant
 	granted              clock.Instant
+	answeredAt           clock.Instant
+	answered             uint64
 	asked                clock.Instant
 	refusedTakeover      clock.Instant
 	acked                uint64
@@ -104,7 +106,7 @@
 	p.asked = n.now
 	req := &PromiseRequest{
 		Group: n.cfg.Group, From: n.self, To: p.run, Term: c.term, Seq: c.promiseSeq,
-		Version: n.version, Revision: n.revision, Active: n.isActive(p.run),
+		Version: n.version, Answered: p.answered, Revision: n.revision, Active: n.isActive(p.run),
 	}
 	if p.acked < n.version {
 		req.Record = n.rec
@@ -137,6 +139,7 @@
 		return
 	}
 	p.acked = max(p.acked, a.Version)
+	p.answered, p.answeredAt, c.alone = max(p.answered, a.Seq), n.now, false
 	switch a.Verdict {
 	case Granted:
 		p.granted, p.refusedTakeover = n.now, 0
@@ -280,7 +283,7 @@
 		return true
 	}
 	p := n.c.promise(r)
-	return p.since > 0 && n.now >= max(p.granted, p.since).Add(successorPatience)
+	return p.declaredLost > 0 || p.since > 0 && n.now >= max(p.granted, p.since).Add(successorPatience)
 }
 
 func (n *Node) aliveMembers() []core.Member {
--- a/ownership/random_test.go
+++ b/ownership/random_test.go
@@ -239,3 +239,16 @@
 	}
 	t.Logf("seeds=%d steps=%d events=%v", seeds, total, events)
 }
+
+// TestCheckFindsMissingLeaseWait proves the power of the check above: with the
+// wait for unexpired leases switched off, it must find two owners of a key.
+func TestCheckFindsMissingLeaseWait(t *testing.T) {
+	found := 0
+	for _, s := range runSeeds(6, 20_000, true) {
+		if s.fault != "" {
+			found++
+		}
+	}
+	must.Positive(t, found, must.Sprint("the check did not notice the missing wait"))
+	t.Logf("noticed in %d of 6 seeds", found)
+}
--- a/ownership/successor.go
+++ b/ownership/successor.go
@@ -30,6 +30,10 @@
 	yielded   uint64
 	nextProbe clock.Instant
 	takenFrom Run
+	// answered is the newest answer that the coordinator of answeredTerm has
+	// confirmed, and stalled counts requests since without a newer one.
+	answered, answeredTerm uint64
+	stalled                int
 
 	acting     bool
 	actUntil   clock.Instant
@@ -82,19 +86,21 @@
 	}
 	n.tickActing()
 	at := n.takeoverAt()
-	if n.now < at {
-		if at != never {
-			n.wakeAt(at)
-		}
+	if at == never || n.store.pend != nil {
 		return
 	}
-	if n.store.pend != nil {
+	n.wakeAt(at)
+	early := at.Add(-n.t.StoreWait)
+	if n.now < early {
+		n.wakeAt(early)
 		return
 	}
 	// A write that is sent to a store that is down may take effect late, and
 	// until then no promise can be given. So a read comes first.
-	if n.store.okAt >= at && n.now < n.store.okAt.Add(n.t.StoreWait) && !n.store.down {
-		n.takeOver()
+	if n.store.okAt >= early && n.now < n.store.okAt.Add(probeEvery) && !n.store.down {
+		if n.now >= at {
+			n.takeOver()
+		}
 		return
 	}
 	if n.now >= n.s.nextProbe {
@@ -146,6 +152,8 @@
 		return RefusedRevision
 	case r.Version < n.version:
 		return RefusedTerm
+	case n.unconfirmed(r):
+		return RefusedNoAuthority
 	}
 	if r.Term > n.term {
 		n.setTerm(r.Term, core.Member{})
@@ -153,6 +161,19 @@
 	return Granted
 }
 
+// unconfirmed reports whether the coordinator has missed the last answers. A
+// coordinator that can send but not receive would otherwise hold its
+// successors back although it has no authority.
+func (n *Node) unconfirmed(r *PromiseRequest) bool {
+	s := &n.s
+	if s.answeredTerm != r.Term || r.Answered > s.answered || r.Answered == 0 {
+		s.answered, s.answeredTerm, s.stalled = r.Answered, r.Term, 0
+		return false
+	}
+	s.stalled++
+	return s.stalled >= 2
+}
+
 // onStepDown lets this node take over at once.
 func (n *Node) onStepDown(d *StepDown) {
 	if n.rec != nil && n.c == nil && d.Term == n.rec.Term && d.From == n.rec.Coordinator && d.Version == n.version {
--- a/ownership/writes.go
+++ b/ownership/writes.go
@@ -115,6 +115,9 @@
 	c := n.c
 	successors, pendingRun, changed := n.nextSuccessors()
 	refresh := n.refreshAt()
+	if !n.reachesGroup() {
+		refresh = max(refresh, n.authorityEnd().Add(2*n.t.Term))
+	}
 	if c.draft == nil && !c.unwritten && !changed && n.now < refresh {
 		n.wakeAt(refresh)
 		return
@@ -140,10 +143,36 @@
 // the term lease leaves room for one slow write.
 func (n *Node) refreshAt() clock.Instant {
 	c := n.c
-	soon := max(c.confirmedSent.Add(n.t.Term/2), n.promiseEnd().Add(-n.t.Promise/3))
+	soon := max(c.confirmedSent.Add(n.t.Term/2), n.promiseEnd().Add(-n.t.Promise/6))
 	return min(soon, c.confirmedSent.Add(n.t.Orphan/3))
 }
 
+// reachesGroup reports whether the coordinator's messages arrive: a successor
+// has answered lately, or half of the other members have confirmed an answer
+// that was sent since. A coordinator that is cut off must not keep its term
+// alive through the store, because then no successor could take over.
+func (n *Node) reachesGroup() bool {
+	c := n.c
+	var heard clock.Instant
+	for _, r := range n.rec.Successors {
+		heard = max(heard, c.promise(r).answeredAt)
+	}
+	if len(n.rec.Successors) == 0 || n.now < heard.Add(n.t.Heartbeat*5/4) || c.alone {
+		return true
+	}
+	others, reached := 0, 0
+	for _, i := range c.infos {
+		if i.run == n.self || i.fenced || !n.heardLately(i) || slices.Contains(n.rec.Successors, i.run) {
+			continue
+		}
+		others++
+		if i.reachedAt > heard.Add(n.t.Heartbeat*5/4) && n.now < i.reachedAt.Add(3*n.t.Heartbeat) {
+			reached++
+		}
+	}
+	return others > 0 && 2*reached >= others
+}
+
 func (c *coordinator) drainingRuns() []Run {
 	var out []Run
 	for _, i := range c.infos {
@@ -157,6 +186,9 @@
 // confirmed acts on a write that is now known to be the stored record.
 func (n *Node) confirmed(p *pending, version uint64, sent clock.Instant) {
 	c := n.c
+	// A write without contact to the group succeeded, so no successor has taken
+	// over although there was time; the coordinator goes on alone.
+	c.alone = !n.reachesGroup()
 	c.confirmedSent = max(c.confirmedSent, sent)
 	n.closePairs(p.rec, version)
 	if c.draft != nil && c.draft.rec == p.rec {
