Add membership: announcements, damping, groups, successors, drains

Groups join evenly by data centre and drains stay within one data centre. ownership.Config takes the choices as functions, so neither module depends on the other.

--- a/membership/doc.go
+++ /dev/null
@@ -1,1 +0,0 @@
-package membership
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,152 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+)
+
+func member(name, dc string, inc core.Incarnation) core.Member {
+	return core.Member{Node: core.NodeID(name), Incarnation: inc, DataCentre: core.DataCentre(dc)}
+}
+
+// TestAnnouncements guards against a stale or contradictory announcement being
+// taken for the limits of a running backend server.
+func TestAnnouncements(t *testing.T) {
+	b := Backend{TTL: 3 * time.Second}
+	a := Announcement{Service: "raportit", Incarnation: 1, Slots: 17, Connections: 130}
+	steps := []struct {
+		change func(*Announcement)
+		want   Change
+		code   core.Code
+	}{
+		{func(*Announcement) {}, Restarted, 0},
+		{func(*Announcement) {}, Unchanged, 0},
+		{func(a *Announcement) { a.Slots = 12 }, Updated, 0},
+		{func(a *Announcement) { a.Incarnation = 2 }, Restarted, 0},
+		{func(a *Announcement) { a.Slots = 0 }, Unchanged, core.CodeInvalid},
+		{func(a *Announcement) { a.Connections = 1 << 20 }, Unchanged, core.CodeInvalid},
+		{func(a *Announcement) { a.Service = "other" }, Unchanged, core.CodeConflict},
+	}
+	now := clock.Instant(time.Hour)
+	for i, s := range steps {
+		next := a
+		s.change(&next)
+		got, err := b.Announce(next, now)
+		must.Eq(t, s.want, got, must.Sprint(fmt.Sprintf("step %d", i)))
+		if s.code != 0 {
+			must.Eq(t, s.code, core.CodeOf(err))
+			continue
+		}
+		must.NoError(t, err)
+		a = next
+	}
+	_, ok := b.Current(now.Add(2 * time.Second))
+	must.True(t, ok)
+	_, ok = b.Current(now.Add(3 * time.Second))
+	must.False(t, ok)
+}
+
+// TestDamping guards against a bouncing node that gets ranges each time, and
+// against one that is never let back.
+func TestDamping(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultDamping()
+		d := NewDamper(cfg)
+		now := clock.Instant(time.Hour)
+		held := time.Duration(0)
+		for i := range rapid.IntRange(1, 30).Draw(t, "losses") {
+			m := member("a", "x", core.Incarnation(i+1))
+			d.Lost(m, now)
+			hold := d.Until("a").Sub(now)
+			if i == 0 {
+				must.True(t, d.Eligible(m, now))
+			} else {
+				must.False(t, d.Eligible(m, now))
+				must.GreaterEq(t, held, hold)
+				must.LessEq(t, cfg.Longest, hold)
+				must.True(t, d.Eligible(m, now.Add(hold)))
+				held = hold
+			}
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(cfg.Forget)-1).Draw(t, "up")))
+		}
+		now = now.Add(2 * cfg.Forget)
+		d.Lost(member("a", "x", 99), now)
+		must.True(t, d.Eligible(member("a", "x", 100), now), must.Sprint("old losses must be forgotten"))
+		for i := range 3 * cfg.Nodes {
+			d.Lost(member(fmt.Sprintf("n%d", i), "x", 1), now)
+		}
+		must.LessEq(t, cfg.Nodes, len(d.nodes))
+	})
+}
+
+// TestGroupSpace guards against gaps and overlaps between groups.
+func TestGroupSpace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.Uint32Range(1, 5000).Draw(t, "count")
+		next := core.Hash(0)
+		for n := range count {
+			r := GroupSpace(n, count)
+			must.Eq(t, next, r.Lo)
+			must.True(t, r.Lo < r.Hi)
+			next = r.Hi + 1
+		}
+		must.Eq(t, core.Hash(0), next)
+	})
+}
+
+// TestChooseGroup guards against overfull groups, and against a restarted node
+// that joins a second group.
+func TestChooseGroup(t *testing.T) {
+	var groups []Group
+	count := GroupCount(40)
+	for i := range 40 {
+		m := member(fmt.Sprintf("n%d", i), fmt.Sprintf("dc%d", i%4), 1)
+		number, ok := ChooseGroup(m, groups, count)
+		must.True(t, ok)
+		for len(groups) <= int(number) {
+			groups = append(groups, Group{Number: uint32(len(groups))})
+		}
+		groups[number].Members = append(groups[number].Members, m)
+	}
+	for _, g := range groups {
+		must.LessEq(t, MaxGroup, len(g.Members))
+		again, _ := ChooseGroup(member(string(g.Members[0].Node), "dc0", 2), groups, count)
+		must.Eq(t, g.Number, again)
+	}
+	_, ok := ChooseGroup(member("late", "dc0", 1), []Group{{Members: make([]core.Member, MaxGroup)}}, 1)
+	must.False(t, ok)
+}
+
+// TestChooseSuccessors guards against successors that share a failure domain
+// although others are available.
+func TestChooseSuccessors(t *testing.T) {
+	c := member("c", "dc0", 1)
+	a0, a1, b1, a2 := member("a0", "dc0", 1), member("a1", "dc1", 1), member("b1", "dc1", 1), member("a2", "dc2", 1)
+	cases := []struct{ candidates, want []core.Member }{
+		{[]core.Member{a0, a1, b1, a2}, []core.Member{a1, a2}},
+		{[]core.Member{a0, a1, b1}, []core.Member{a1, b1}},
+		{[]core.Member{a0, a1}, []core.Member{a1, a0}},
+		{[]core.Member{a0}, []core.Member{a0}},
+		{nil, nil},
+	}
+	for _, x := range cases {
+		must.Eq(t, x.want, ChooseSuccessors(c, x.candidates, 2))
+	}
+}
+
+// TestMayDrain guards against draining more than the share, or two data
+// centres at once.
+func TestMayDrain(t *testing.T) {
+	a, b, c := member("a", "dc0", 1), member("b", "dc0", 1), member("c", "dc1", 1)
+	must.True(t, MayDrain(nil, a, 3))
+	must.False(t, MayDrain([]core.Member{a}, b, 9))
+	must.True(t, MayDrain([]core.Member{a}, b, 10))
+	must.False(t, MayDrain([]core.Member{a}, c, 16))
+}
--- a/ownership/api.go
+++ b/ownership/api.go
@@ -13,9 +13,11 @@
 	Group  core.GroupID
 	Self   core.Member
 	Timing Timing
-	// DrainShare is the share of the group that may drain at a time; at least
-	// one member may. Zero means 0.2.
-	DrainShare float64
+	// Space is the part of the key space that the group owns; zero means all.
+	Space core.Range
+	// MayDrain reports whether candidate may drain while others do, in a group
+	// of total members. Nil allows a fifth of the group, and at least one.
+	MayDrain func(draining []core.Member, candidate core.Member, total int) bool
 	// Eligible reports whether m may be given ranges now. It is asked by the
 	// coordinator; nil means always. Flap damping belongs here.
 	Eligible func(m core.Member, now clock.Instant) bool
--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -31,7 +31,7 @@
 	reachedAt clock.Instant
 	// proven is set once the member has confirmed an answer; a member that
 	// joins gets no ranges before.
-	proven bool
+	proven    bool
 	sent      [8]sentRenewal
 	nextShare clock.Instant
 }
--- a/ownership/moves.go
+++ b/ownership/moves.go
@@ -232,20 +232,19 @@
 		i.draining, i.stopping = n.m.draining, n.m.stopping
 		i.accepted = i.accepted && i.draining
 	}
-	accepted := 0
+	var draining []core.Member
 	for _, i := range c.infos {
 		if i.accepted && !i.fenced {
-			accepted++
+			draining = append(draining, i.member)
 		}
 	}
-	limit := max(1, int(float64(len(c.infos))*n.cfg.DrainShare))
 	for _, i := range c.infos {
 		if !i.draining || i.fenced || !i.inTable {
 			continue
 		}
-		if !i.accepted && (accepted < limit || i.stopping) {
+		if !i.accepted && (i.stopping || n.cfg.MayDrain(draining, i.member, len(c.infos))) {
 			i.accepted = true
-			accepted++
+			draining = append(draining, i.member)
 			n.journal(EventDrainAccepted, i.run, core.Range{})
 		}
 		if i.accepted {
@@ -257,6 +256,11 @@
 	}
 }
 
+// fifthOfGroup is the default drain cap.
+func fifthOfGroup(draining []core.Member, _ core.Member, total int) bool {
+	return len(draining) < max(1, total/5)
+}
+
 // moveAway starts moves for what a draining member still owns.
 func (n *Node) moveAway(i *info) {
 	c := n.c
--- a/ownership/node.go
+++ b/ownership/node.go
@@ -55,8 +55,11 @@
 	if cfg.Self.Node == "" || cfg.Self.Incarnation == 0 {
 		return nil, core.Fail(core.CodeInvalid, "ownership: node without identity")
 	}
-	if cfg.DrainShare <= 0 {
-		cfg.DrainShare = 0.2
+	if cfg.MayDrain == nil {
+		cfg.MayDrain = fifthOfGroup
+	}
+	if cfg.Space == (core.Range{}) {
+		cfg.Space = core.FullRange
 	}
 	if cfg.Successors == nil {
 		cfg.Successors = otherDataCentres
--- a/ownership/planned_test.go
+++ b/ownership/planned_test.go
@@ -126,6 +126,39 @@
 	report(t, times)
 }
 
+// TestBothSuccessorsLost holds the protocol to its stated limit: renewals go on
+// through the store, and reassignment waits until one returns or is declared
+// lost.
+func TestBothSuccessorsLost(t *testing.T) {
+	for seed := range uint64(10) {
+		s := healthy(t, seed+1, 8, 4)
+		c := s.coordinator()
+		a, b := s.successor(0), s.successor(1)
+		lost := append(s.pointsOf(a, true), s.pointsOf(b, true)...)
+		own := s.pointsOf(c, true)
+		var others []core.Hash
+		for _, p := range s.points {
+			if n := s.owner(p); n != a && n != b && n != c {
+				others = append(others, p)
+			}
+		}
+		runs := []Run{RunOf(a.member()), RunOf(b.member())}
+		s.lose(a, b)
+		last, _ := s.outage(others, time.Minute, 10*time.Millisecond)
+		must.Eq(t, 0, last, must.Sprint("renewals must go on"))
+		must.Eq(t, c, s.owner(own[0]))
+		must.Nil(t, s.owner(lost[0]), must.Sprint("the pair may still act"))
+		if seed%2 == 0 {
+			s.toProcess(c, c.inc, DeclareLost{Runs: runs[:1]})
+		} else {
+			s.start(a)
+		}
+		s.run(servedAgain)
+		must.Eq(t, "", s.fault)
+		must.Eq(t, 0, s.unserved())
+	}
+}
+
 // TestRevisionBehind guards against a member that serves under an old
 // configuration, and against a coordinator that keeps such a group.
 func TestRevisionBehind(t *testing.T) {
--- a/ownership/sim_test.go
+++ b/ownership/sim_test.go
@@ -123,6 +123,7 @@
 	}
 }
 
+// debugTrace records what happens, to read the trace of a failing seed.
 var debugTrace bool
 
 func (s *sim) logf(format string, args ...any) {
