--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -18,7 +18,7 @@
 	token := core.Token{Term: 1, Sequence: 1}
 	table := core.Table{
 		Group: n.cfg.Group, Version: token, Members: []core.Member{n.cfg.Self},
-		Entries: []core.Entry{{Range: core.FullRange, Owner: 0, Token: token}},
+		Entries: []core.Entry{{Range: n.cfg.Space, Owner: 0, Token: token}},
 	}
 	n.submit(writeCreate, &GroupRecord{Term: 1, Coordinator: n.self, Table: table}, 0)
 }
@@ -88,7 +88,7 @@
 	n.c = c
 	for _, m := range p.rec.Table.Members {
 		run := RunOf(m)
-		i := &info{run: run, member: m, inTable: true, lastAnswer: lastLease}
+		i := &info{run: run, member: m, inTable: true, proven: true, lastAnswer: lastLease}
 		i.adopted = run == n.self || run == former
 		c.infos = append(c.infos, i)
 	}
