--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,244 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+)
+
+// Config holds the limits of a Planner.
+type Config struct {
+	// High is the ratio of load to share above which an owner gives load away,
+	// and Target the ratio at which it stops. High stays below the bound of
+	// 1.2 by more than the sampling noise of the loads.
+	High, Target float64
+	// Hold is how long an owner must be above High. A swing that passes sooner
+	// moves nothing, and the sketch has forgotten most of the old hot keys.
+	Hold time.Duration
+	// RangeHold takes the place of Hold for moves of more than single hashes.
+	// After it, members that lost a hot key show their room, so that the new
+	// hot keys can move there instead of whole ranges elsewhere.
+	RangeHold time.Duration
+	// FillBelow is the ratio below which a member is given load after
+	// FillHold, for example after it joined.
+	FillBelow float64
+	FillHold  time.Duration
+	// MaxMoves bounds the moves that run at the same time, and MaxIncoming
+	// those toward one member, so that warm-ups do not add up.
+	MaxMoves, MaxIncoming int
+	// MaxDrainMoves bounds moves that empty a member that takes no work. It
+	// must stop serving within 2 s, so that many run at once.
+	MaxDrainMoves int
+	// Churn is the part of the span that may move within ChurnWindow for the
+	// sake of balance.
+	Churn       float64
+	ChurnWindow time.Duration
+	// Cooldown is how long a moved range stays where it is.
+	Cooldown time.Duration
+	// MinLoad is the load per member below which nothing moves for balance.
+	// Fewer requests leave more sampling noise than High allows for.
+	MinLoad float64
+	// WarmUp is the cost of a move, as the seconds of the moved load that the
+	// new owner spends in addition. A move must save more within Horizon.
+	WarmUp, Horizon time.Duration
+	// MoveTimeout is when a move that the table does not show counts as failed.
+	MoveTimeout time.Duration
+	// ColdShare is the part of an owner's share below which an isolated hash
+	// is no longer hot. After ColdAfter it is merged back.
+	ColdShare float64
+	ColdAfter time.Duration
+	// MaxEntries bounds the entries of a table per member.
+	MaxEntries int
+}
+
+// DefaultConfig returns the limits that serve both deployments.
+func DefaultConfig() Config {
+	return Config{
+		High: 1.17, Target: 1.10, Hold: 20 * time.Second, RangeHold: 30 * time.Second,
+		FillBelow: 0.5, FillHold: time.Minute,
+		MaxMoves: 4, MaxIncoming: 1, MaxDrainMoves: 16,
+		Churn: 0.048, ChurnWindow: time.Minute, Cooldown: time.Minute, MinLoad: 50,
+		WarmUp: 2 * time.Second, Horizon: time.Minute, MoveTimeout: 15 * time.Second,
+		ColdShare: 0.02, ColdAfter: 5 * time.Minute, MaxEntries: 64,
+	}
+}
+
+// moved is a move of the recent past.
+type moved struct {
+	r     core.Range
+	to    core.NodeID
+	at    clock.Instant
+	width float64
+	// running is false once the table shows the new owner.
+	running bool
+}
+
+// maxRecent bounds the remembered moves. It exceeds what MaxMoves allows
+// within the churn window when each move takes a second.
+const maxRecent = 512
+
+// Planner decides splits, merges and moves for one group. It is not safe for
+// concurrent use.
+type Planner struct {
+	cfg    Config
+	recent []moved
+	// over and under hold since when a member is above High or below FillBelow.
+	over, under map[core.NodeID]clock.Instant
+	// cold holds since when an isolated hash has not been hot.
+	cold map[core.Hash]clock.Instant
+}
+
+// NewPlanner returns a planner with the given limits.
+func NewPlanner(cfg Config) *Planner {
+	return &Planner{cfg: cfg, over: map[core.NodeID]clock.Instant{},
+		under: map[core.NodeID]clock.Instant{}, cold: map[core.Hash]clock.Instant{}}
+}
+
+// run is one call of Plan.
+type run struct {
+	*Planner
+	*model
+	now   clock.Instant
+	table *core.Table
+	plan  *Plan
+	// slots is the number of moves for balance that may still start.
+	slots int
+	churn float64
+	// hot caches the movable hashes of each member until something moves.
+	hot [][]Hitter
+}
+
+// Plan returns the changes for table under the given loads. Capacities are
+// indexed like the table's members; a missing one counts as weight 1. The
+// caller applies splits and merges at once and starts every move. The planner
+// considers a move running until the table shows it or MoveTimeout passes.
+func (p *Planner) Plan(now clock.Instant, table *core.Table, loads *Loads, capacities []Capacity) *Plan {
+	r := &run{Planner: p, model: newModel(table, loads.profile(now), capacities), now: now, table: table, plan: &Plan{}}
+	r.settle()
+	r.plan.Imbalance = r.imbalance()
+	r.plan.Floor = r.floor()
+	r.watch()
+	r.rescue()
+	if r.prof.total() >= p.cfg.MinLoad*float64(len(table.Members)) {
+		r.isolateGiants()
+		r.relieve()
+		r.fill()
+	}
+	r.plan.Merges = r.merges()
+	r.plan.Splits = r.splits(table)
+	r.plan.Predicted = r.imbalance()
+	return r.plan
+}
+
+// settle forgets old moves, applies running ones to the model and computes how
+// much may still move.
+func (r *run) settle() {
+	r.recent = slices.DeleteFunc(r.recent, func(m moved) bool {
+		return r.now.Sub(m.at) > max(r.cfg.Cooldown, r.cfg.ChurnWindow)
+	})
+	r.slots, r.churn = r.cfg.MaxMoves, r.cfg.Churn
+	for i := range r.recent {
+		m := &r.recent[i]
+		if r.now.Sub(m.at) < r.cfg.ChurnWindow {
+			r.churn -= m.width
+		}
+		if !m.running {
+			continue
+		}
+		to := slices.IndexFunc(r.table.Members, func(x core.Member) bool { return x.Node == m.to })
+		at := r.find(m.r.Lo)
+		done := at >= 0 && r.segs[at].owner == to
+		if done || to < 0 || at < 0 || !r.segs[at].r.Contains(m.r.Hi) || r.now.Sub(m.at) > r.cfg.MoveTimeout {
+			m.running = false
+			continue
+		}
+		r.assign(r.carve(at, m.r), to)
+		r.slots--
+	}
+}
+
+// floor returns the ratio of the hottest hash to the greatest share.
+func (r *run) floor() float64 {
+	hot, share := 0.0, 0.0
+	for _, h := range r.prof.hitters {
+		hot = max(hot, h.Rate)
+	}
+	for _, s := range r.share {
+		share = max(share, s)
+	}
+	if share == 0 {
+		return 0
+	}
+	return hot / share
+}
+
+// watch updates since when members are above or below their share. An owner
+// leaves the list only below Target, so that noise around High does not start
+// the time anew.
+func (r *run) watch() {
+	over, under := map[core.NodeID]clock.Instant{}, map[core.NodeID]clock.Instant{}
+	for o, m := range r.table.Members {
+		ratio := r.ratio(o)
+		since, was := r.over[m.Node]
+		switch {
+		case was && ratio > r.cfg.Target:
+			over[m.Node] = since
+		case ratio > r.cfg.High:
+			over[m.Node] = r.now
+		}
+		if since, was := r.under[m.Node]; r.share[o] > 0 && ratio < r.cfg.FillBelow {
+			if !was {
+				since = r.now
+			}
+			under[m.Node] = since
+		}
+	}
+	r.over, r.under = over, under
+}
+
+// held reports whether a member has been above High for the given time.
+func (r *run) held(o int, d time.Duration) bool {
+	since, ok := r.over[r.table.Members[o].Node]
+	return ok && r.now.Sub(since) >= d
+}
+
+// resting reports whether a range moved too recently to move again.
+func (r *run) resting(x core.Range) bool {
+	return slices.ContainsFunc(r.recent, func(m moved) bool {
+		return m.r.Overlaps(x) && r.now.Sub(m.at) < r.cfg.Cooldown
+	})
+}
+
+// allowed reports whether a move for balance of the given width may start, and
+// counts it as deferred otherwise.
+func (r *run) allowed(width float64) bool {
+	crowded := len(r.segs) >= r.cfg.MaxEntries*len(r.table.Members)
+	if r.slots > 0 && width <= r.churn && !crowded && len(r.recent) < maxRecent {
+		return true
+	}
+	r.plan.Deferred++
+	return false
+}
+
+// move records the move of segment i.
+func (r *run) move(i, to int, why Reason) {
+	s := r.segs[i]
+	r.assign(i, to)
+	r.hot = nil
+	width := r.part(s.r)
+	r.plan.Moves = append(r.plan.Moves, Move{Range: s.r, From: s.from, To: to, Load: s.load, Reason: why})
+	r.plan.KeySpaceMoved += width
+	m := moved{r: s.r, to: r.table.Members[to].Node, at: r.now, width: width, running: true}
+	if why == ReasonUnowned || why == ReasonDrain {
+		m.width = 0 // availability is not limited by the churn budget
+	} else {
+		r.slots--
+		r.churn -= width
+	}
+	if len(r.recent) == maxRecent {
+		r.recent = slices.Delete(r.recent, 0, 1)
+	}
+	r.recent = append(r.recent, m)
+}
--- /dev/null
+++ b/placement/relieve.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"marjoramshore.example/core"
+)
+
+// leastGain is the part of a share that a single move must transfer.
+const leastGain = 0.02
+
+// fillKeeps is the ratio that a member keeps when it gives load to one that is
+// far below its share.
+const fillKeeps = 0.9
+
+// relieve takes load from members that have been above High, the most loaded
+// first. It prefers single hot hashes: they transfer the most load for the
+// fewest keys. Whole parts of ranges follow only after RangeHold.
+func (r *run) relieve() {
+	for _, o := range r.byRatio() {
+		if r.host[o] || r.ratio(o) <= r.cfg.High || !r.held(o, r.cfg.Hold) {
+			continue
+		}
+		if steps, ok := r.solve(o); ok {
+			r.commit(steps)
+		} else if r.held(o, r.cfg.RangeHold) {
+			r.relieveByRange(o)
+		}
+	}
+}
+
+// relieveByRange moves parts of ranges until the member is at Target. A member
+// that stopped at High would have no room for the next hot key of the same
+// load, and that key would then displace a range elsewhere.
+func (r *run) relieveByRange(o int) {
+	for r.ratio(o) > r.cfg.Target && r.allowed(0) {
+		if !r.giveRange(o, r.load[o]-r.cfg.Target*r.share[o], ReasonOverload) {
+			return
+		}
+	}
+}
+
+// hotHashes returns the hashes of a member that are worth a move, the lightest
+// first. The caller must not change the result.
+func (r *run) hotHashes(o int) []Hitter {
+	if r.hot == nil {
+		r.hot = make([][]Hitter, len(r.load))
+		for _, h := range r.prof.hitters {
+			i := r.find(h.Hash)
+			if i < 0 || r.segs[i].owner == core.NoOwner || r.segs[i].busy {
+				continue
+			}
+			own := r.segs[i].owner
+			if h.Rate >= leastGain*r.share[own] && !r.resting(core.Range{Lo: h.Hash, Hi: h.Hash}) {
+				r.hot[own] = append(r.hot[own], h)
+			}
+		}
+		for _, hot := range r.hot {
+			slices.SortStableFunc(hot, func(a, b Hitter) int { return cmp.Compare(a.Rate, b.Rate) })
+		}
+	}
+	return r.hot[o]
+}
+
+// worthwhile reports whether a move saves more within the horizon than the
+// warm-up of the new owner costs.
+func (r *run) worthwhile(load, excess float64) bool {
+	return min(load, excess)*r.cfg.Horizon.Seconds() > load*r.cfg.WarmUp.Seconds()
+}
+
+// giveRange moves an end of one of the member's ranges with about the given
+// load to a member that has room for it.
+func (r *run) giveRange(o int, want float64, why Reason) bool {
+	for _, x := range r.owned(o) {
+		if x.Lo == x.Hi || r.resting(x) {
+			continue
+		}
+		if r.giveEnd(r.find(x.Lo), want, r.cfg.Target, r.cfg.MaxIncoming, why) {
+			return true
+		}
+	}
+	return false
+}
+
+// giveEnd moves a part of segment i with a load of at most want. A neighbour's
+// owner is preferred, because the two ranges then merge.
+func (r *run) giveEnd(i int, want, limit float64, maxIncoming int, why Reason) bool {
+	from := r.segs[i].owner
+	to, high := -1, false
+	if i > 0 && r.neighbour(i-1, i, limit, maxIncoming) {
+		to = r.segs[i-1].owner
+	}
+	if i+1 < len(r.segs) && r.neighbour(i+1, i, limit, maxIncoming) {
+		if next := r.segs[i+1].owner; to < 0 || r.ratio(next) < r.ratio(to) {
+			to, high = next, true
+		}
+	}
+	if to < 0 {
+		var ok bool
+		if to, ok = r.receiver(0, limit, from, maxIncoming); !ok {
+			return false
+		}
+	}
+	want = min(want, limit*r.share[to]-r.load[to])
+	x, ok := r.prof.lowPart(r.segs[i].r, want)
+	if high {
+		x, ok = r.prof.highPart(r.segs[i].r, want)
+	}
+	if load := r.prof.load(x); !ok || load < leastGain*r.share[to] && x != r.segs[i].r {
+		return false
+	}
+	if why != ReasonUnowned && why != ReasonDrain {
+		if x, ok = r.affordable(x, high); !ok {
+			return false
+		}
+	}
+	r.move(r.carve(i, x), to, why)
+	return true
+}
+
+// neighbour reports whether the owner of segment n has room for a useful part
+// of segment i.
+func (r *run) neighbour(n, i int, limit float64, maxIncoming int) bool {
+	o := r.segs[n].owner
+	if o == core.NoOwner || o == r.segs[i].owner || !r.takes(o, maxIncoming) {
+		return false
+	}
+	return r.ratio(o) < limit-2*leastGain
+}
+
+// affordable shortens x to what the churn budget leaves.
+func (r *run) affordable(x core.Range, high bool) (core.Range, bool) {
+	if !r.allowed(0) {
+		return x, false
+	}
+	if r.part(x) <= r.churn {
+		return x, true
+	}
+	r.plan.Deferred++
+	n := r.churn * r.prof.span.Width() * (1 << 64)
+	if n < float64(r.prof.step) {
+		return x, false
+	}
+	if high {
+		x.Lo = x.Hi - core.Hash(n) + 1
+	} else {
+		x.Hi = x.Lo + core.Hash(n) - 1
+	}
+	return x, true
+}
+
+// fill gives a range to a member that has been far below its share, from the
+// most loaded member.
+func (r *run) fill() {
+	for o, m := range r.table.Members {
+		since, ok := r.under[m.Node]
+		if !ok || r.now.Sub(since) < r.cfg.FillHold || !r.takes(o, r.cfg.MaxIncoming) || r.ratio(o) >= r.cfg.FillBelow {
+			continue
+		}
+		order := slices.DeleteFunc(r.byRatio(), func(src int) bool { return src == o || r.host[src] })
+		if len(order) == 0 {
+			return
+		}
+		spare := r.load[order[0]] - fillKeeps*r.share[order[0]]
+		if spare >= leastGain*r.share[order[0]] {
+			r.giveTo(order[0], o, spare)
+		}
+	}
+}
+
+// giveTo moves a part of the heaviest idle range of src to one member.
+func (r *run) giveTo(src, to int, want float64) {
+	for _, x := range r.owned(src) {
+		if x.Lo == x.Hi || r.resting(x) {
+			continue
+		}
+		part, ok := r.prof.lowPart(x, min(want, r.share[to]-r.load[to]))
+		if !ok {
+			continue
+		}
+		if part, ok = r.affordable(part, false); !ok {
+			return
+		}
+		r.move(r.carve(r.find(x.Lo), part), to, ReasonFill)
+		return
+	}
+}
--- /dev/null
+++ b/placement/sim_test.go
@@ -0,0 +1,275 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+)
+
+const (
+	simKeys = 1_000_000
+	simHot  = 69
+)
+
+// keyHashes holds the hash of every key in order of its name.
+var keyHashes = sync.OnceValue(func() []core.Hash {
+	out := make([]core.Hash, simKeys)
+	for i := range out {
+		out[i] = core.HashKey(fmt.Sprintf("key-%d", i))
+	}
+	return out
+})
+
+// zipf holds the cumulative share of each rank at exponent 0.99.
+var zipf = sync.OnceValue(func() []float64 {
+	out, sum := make([]float64, simKeys), 0.0
+	for i := range out {
+		sum += math.Pow(float64(i+1), -0.99)
+		out[i] = sum
+	}
+	for i := range out {
+		out[i] /= sum
+	}
+	return out
+})
+
+// guide holds the first rank of each of 65,536 equal parts of probability.
+var guide = sync.OnceValue(func() []int32 {
+	out := make([]int32, 1<<16+1)
+	for i := range out {
+		rank, _ := slices.BinarySearch(zipf(), float64(i)/(1<<16))
+		out[i] = int32(min(rank, simKeys-1))
+	}
+	return out
+})
+
+func drawRank(rng *rand.Rand) int {
+	u := rng.Float64()
+	i := int(u * (1 << 16))
+	lo, hi := int(guide()[i]), int(guide()[i+1])
+	n, _ := slices.BinarySearch(zipf()[lo:hi+1], u)
+	return min(lo+n, simKeys-1)
+}
+
+func rankShare(rank int) float64 {
+	if rank == 0 {
+		return zipf()[0]
+	}
+	return zipf()[rank] - zipf()[rank-1]
+}
+
+// sim drives one group in virtual time: every owner records its requests and
+// exports every 5 s, the coordinator plans every second, and a move takes 1 s.
+type sim struct {
+	rng      *rand.Rand
+	now      clock.Instant
+	table    *core.Table
+	sketches []*Sketch
+	loads    *Loads
+	planner  *Planner
+	caps     []Capacity
+	perSec   int
+	// key is the key at each rank.
+	key     []int
+	pending []Move
+	// keysMoved and spaceMoved count every move, also of a range that moved
+	// before.
+	keysMoved  int
+	spaceMoved float64
+	maxExport  int
+	maxMoves   int
+	limits     []Limit
+}
+
+func newSim(seed uint64, owners, perSec int) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), loads: NewLoads(core.FullRange), planner: NewPlanner(DefaultConfig()),
+		perSec: perSec, table: evenTable(owners), key: make([]int, simKeys)}
+	for range owners {
+		s.sketches = append(s.sketches, NewSketch(core.FullRange))
+	}
+	for i := range s.key {
+		s.key[i] = i
+	}
+	s.rng.Shuffle(simKeys, func(i, j int) { s.key[i], s.key[j] = s.key[j], s.key[i] })
+	return s
+}
+
+// evenTable is the simple baseline: an even division that never moves.
+func evenTable(owners int) *core.Table {
+	t := &core.Table{Version: core.Token{Term: 1}}
+	step := ^core.Hash(0)/core.Hash(owners) + 1
+	for i := range owners {
+		t.Members = append(t.Members, core.Member{Node: core.NodeID(fmt.Sprintf("n%02d", i)), Incarnation: 1})
+		lo := core.Hash(i) * step
+		t.Entries = append(t.Entries, core.Entry{Range: core.Range{Lo: lo, Hi: lo + step - 1}, Owner: i})
+	}
+	return t
+}
+
+// changeHot gives the hottest ranks to keys that were cold.
+func (s *sim) changeHot() {
+	for i := range simHot {
+		j := simHot + s.rng.IntN(simKeys-simHot)
+		s.key[i], s.key[j] = s.key[j], s.key[i]
+	}
+}
+
+// settle lets the first assignment converge without the churn budget, which
+// would take minutes, and then puts the default limits in force.
+func (s *sim) settle() {
+	cfg := DefaultConfig()
+	cfg.Churn, cfg.MaxMoves, cfg.MaxIncoming, cfg.Cooldown = 1, 64, 4, time.Second
+	cfg.Hold, cfg.RangeHold = 5*time.Second, 10*time.Second
+	s.planner = NewPlanner(cfg)
+	s.run(90 * time.Second)
+	s.planner = NewPlanner(DefaultConfig())
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.second()
+	}
+}
+
+func (s *sim) second() {
+	for i := range s.perSec {
+		h := keyHashes()[s.key[drawRank(s.rng)]]
+		e, _ := s.table.Find(h)
+		s.sketches[e.Owner].Record(s.now.Add(time.Duration(i)*time.Second/time.Duration(s.perSec)), h, 1)
+	}
+	s.now = s.now.Add(time.Second)
+	for o, m := range s.table.Members {
+		if (int(s.now/clock.Instant(time.Second))+o)%5 == 0 {
+			b := s.sketches[o].Export(s.now)
+			s.maxExport = max(s.maxExport, len(b))
+			if err := s.loads.Merge(s.now, m.Node, b); err != nil {
+				panic(err)
+			}
+		}
+	}
+	s.finishMoves()
+	plan := s.planner.Plan(s.now, s.table, s.loads, s.caps)
+	s.table = &core.Table{Members: s.table.Members, Entries: plan.Divide(s.table), Version: core.Token{Term: 1, Sequence: uint64(s.now)}}
+	if err := s.table.Validate(); err != nil {
+		panic(err)
+	}
+	if dbg {
+		for _, m := range plan.Moves {
+			fmt.Printf("t=%v %v %d->%d load %.3f width %.5f%% ratio(from) imb %.3f\n", time.Duration(s.now), m.Reason, m.From, m.To, m.Load*float64(len(s.table.Members))/float64(s.perSec), 100*m.Range.Width(), plan.Imbalance)
+		}
+	}
+	s.pending, s.limits = plan.Moves, plan.Limits
+	s.maxMoves = max(s.maxMoves, len(plan.Moves))
+}
+
+func (s *sim) finishMoves() {
+	for _, m := range s.pending {
+		i := slices.IndexFunc(s.table.Entries, func(e core.Entry) bool { return e.Range == m.Range })
+		if i < 0 || s.table.Entries[i].Owner != m.From {
+			panic(fmt.Sprintf("move of a range that the table does not hold: %+v", m))
+		}
+		s.table.Entries[i].Owner = m.To
+		s.keysMoved += keysIn(m.Range)
+		s.spaceMoved += m.Range.Width()
+	}
+	s.pending = nil
+}
+
+var sortedHashes = sync.OnceValue(func() []core.Hash { return slices.Sorted(slices.Values(keyHashes())) })
+
+func keysIn(r core.Range) int {
+	lo, _ := slices.BinarySearch(sortedHashes(), r.Lo)
+	hi, found := slices.BinarySearch(sortedHashes(), r.Hi)
+	if found {
+		hi++
+	}
+	return hi - lo
+}
+
+// ownerState is the true load of one owner and the shares of its keys, the
+// greatest first. Only the keys of the first ranks are listed one by one.
+type ownerState struct {
+	load float64
+	keys []float64
+}
+
+// truth computes the exact shares from the distribution, without sampling.
+func (s *sim) truth(t *core.Table) []ownerState {
+	out := make([]ownerState, len(t.Members))
+	for rank, k := range s.key {
+		e, _ := t.Find(keyHashes()[k])
+		o := &out[e.Owner]
+		o.load += rankShare(rank)
+		o.keys = append(o.keys, rankShare(rank))
+	}
+	return out
+}
+
+func imbalanceOf(owners []ownerState) float64 {
+	worst := 0.0
+	for _, o := range owners {
+		worst = max(worst, o.load*float64(len(owners)))
+	}
+	return worst
+}
+
+// leastMoves is a lower bound of the keys that must change owner until each
+// owner is within 1.2 times the mean, or holds one key that alone exceeds it
+// and nothing else. Each owner sheds its hottest keys first, and where the
+// keys go is ignored, so no plan moves fewer. The owners of oversized keys are
+// chosen where emptying them costs least.
+func leastMoves(owners []ownerState) int {
+	bound := 1.2 / float64(len(owners))
+	sum, oversized := 0, 0
+	var extra []int
+	for _, o := range owners {
+		big, shed, load := 0, 0, o.load
+		for _, k := range o.keys {
+			if k > bound {
+				big++
+			}
+			if load > bound {
+				load -= k
+				shed++
+			}
+		}
+		sum += shed
+		oversized += big
+		alone := len(o.keys)
+		if big > 0 {
+			alone--
+		}
+		extra = append(extra, alone-shed)
+	}
+	slices.Sort(extra)
+	for _, e := range extra[:oversized] {
+		sum += e
+	}
+	if sum == 1 && !oneMoveSuffices(owners, bound) {
+		return 2
+	}
+	return sum
+}
+
+// oneMoveSuffices reports whether moving a single key brings every owner
+// within the bound.
+func oneMoveSuffices(owners []ownerState, bound float64) bool {
+	lightest := slices.MinFunc(owners, func(a, b ownerState) int { return cmp.Compare(a.load, b.load) }).load
+	for _, o := range owners {
+		for _, k := range o.keys {
+			if o.load > bound && o.load-k <= bound && lightest+k <= bound {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+var dbg = false
