--- a/placement/chain.go
+++ b/placement/chain.go
@@ -176,13 +176,30 @@
 	return best, best >= 0
 }
 
-// commit starts the steps that the number of running moves allows.
+// commit starts the steps that the number of running moves allows and queues
+// the rest: the first steps of a chain help nobody without the last.
 func (r *run) commit(steps []step) {
-	for _, s := range steps {
+	for i, s := range steps {
 		if !r.allowed(0) {
+			r.queue = steps[i:]
 			return
 		}
 		one := core.Range{Lo: s.hash.Hash, Hi: s.hash.Hash}
 		r.move(r.carve(r.find(s.hash.Hash), one), s.to, ReasonOverload)
 	}
 }
+
+// resume continues a queued solution. It drops it when the table or the loads
+// no longer suit.
+func (r *run) resume() {
+	steps := r.queue
+	r.queue = nil
+	for _, s := range steps {
+		i := r.find(s.hash.Hash)
+		if i < 0 || r.segs[i].owner != s.from || r.segs[i].busy || !r.takes(s.to, r.cfg.MaxIncoming+1) ||
+			r.ratioWith(s.to, s.hash.Rate) > r.cfg.High {
+			return
+		}
+	}
+	r.commit(steps)
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -71,10 +71,16 @@
 	to    core.NodeID
 	at    clock.Instant
 	width float64
+	load  float64
 	// running is false once the table shows the new owner.
 	running bool
 }
 
+// settleTime is how long a moved load counts at least as it was planned. The
+// exports of the two owners are taken at different times, so that their sum
+// can miss up to half of it after a move.
+const settleTime = 3 * HalfLife
+
 // maxRecent bounds the remembered moves. It exceeds what MaxMoves allows
 // within the churn window when each move takes a second.
 const maxRecent = 512
@@ -88,6 +94,10 @@
 	over, under map[core.NodeID]clock.Instant
 	// cold holds since when an isolated hash has not been hot.
 	cold map[core.Hash]clock.Instant
+	// queue is the rest of a solution that exceeded MaxMoves, at most maxChain
+	// steps for the members of queueMembers.
+	queue        []step
+	queueMembers []core.Member
 }
 
 // NewPlanner returns a planner with the given limits.
@@ -120,6 +130,9 @@
 	r.plan.Imbalance = r.imbalance()
 	r.plan.Floor = r.floor()
 	r.watch()
+	if !slices.Equal(r.queueMembers, table.Members) {
+		r.queue, r.queueMembers = nil, table.Members
+	}
 	r.rescue()
 	if r.prof.total() >= p.cfg.MinLoad*float64(len(table.Members)) {
 		r.isolateGiants()
@@ -144,12 +157,15 @@
 		if r.now.Sub(m.at) < r.cfg.ChurnWindow {
 			r.churn -= m.width
 		}
-		if !m.running {
-			continue
-		}
 		to := slices.IndexFunc(r.table.Members, func(x core.Member) bool { return x.Node == m.to })
 		at := r.find(m.r.Lo)
 		done := at >= 0 && r.segs[at].owner == to
+		if done && r.now.Sub(m.at) < settleTime {
+			r.load[to] += max(0, m.load-r.prof.load(m.r))
+		}
+		if !m.running {
+			continue
+		}
 		if done || to < 0 || at < 0 || !r.segs[at].r.Contains(m.r.Hi) || r.now.Sub(m.at) > r.cfg.MoveTimeout {
 			m.running = false
 			continue
@@ -230,7 +246,7 @@
 	width := r.part(s.r)
 	r.plan.Moves = append(r.plan.Moves, Move{Range: s.r, From: s.from, To: to, Load: s.load, Reason: why})
 	r.plan.KeySpaceMoved += width
-	m := moved{r: s.r, to: r.table.Members[to].Node, at: r.now, width: width, running: true}
+	m := moved{r: s.r, to: r.table.Members[to].Node, at: r.now, width: width, load: s.load, running: true}
 	if why == ReasonUnowned || why == ReasonDrain {
 		m.width = 0 // availability is not limited by the churn budget
 	} else {
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -58,4 +58,4 @@
 	}
 }
 
-var seeds8, seeds64 = 24, 8
+var seeds8, seeds64 = 24, 12
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -14,12 +14,13 @@
 // far below its share.
 const fillKeeps = 0.9
 
-// relieve takes load from members that have been above High, the most loaded
-// first. It prefers single hot hashes: they transfer the most load for the
-// fewest keys. Whole parts of ranges follow only after RangeHold.
+// relieve takes load from members that have been above High. It prefers single
+// hot hashes: they transfer the most load for the fewest keys. Whole parts of
+// ranges follow only after RangeHold.
 func (r *run) relieve() {
-	for _, o := range r.byRatio() {
-		if r.host[o] || r.ratio(o) <= r.cfg.High || !r.held(o, r.cfg.Hold) {
+	r.resume()
+	for _, o := range r.overloaded() {
+		if r.ratio(o) <= r.cfg.High || len(r.queue) > 0 {
 			continue
 		}
 		if steps, ok := r.solve(o); ok {
@@ -30,6 +31,34 @@
 	}
 }
 
+// overloaded returns the members to relieve. Once one has been above High for
+// Hold, those that follow shortly are treated with it. The member that must
+// give away the heaviest hash comes first, because that hash fits in the
+// fewest places.
+func (r *run) overloaded() []int {
+	var out []int
+	due := false
+	need := make([]float64, len(r.load))
+	for o := range r.load {
+		if r.host[o] || r.ratio(o) <= r.cfg.High || !r.held(o, r.cfg.Hold*3/4) {
+			continue
+		}
+		due = due || r.held(o, r.cfg.Hold)
+		out = append(out, o)
+		excess := r.load[o] - r.cfg.High*r.share[o]
+		for _, h := range slices.Backward(r.hotHashes(o)) {
+			if h.Rate >= excess || need[o] == 0 {
+				need[o] = h.Rate
+			}
+		}
+	}
+	if !due {
+		return nil
+	}
+	slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(need[b], need[a]) })
+	return out
+}
+
 // relieveByRange moves parts of ranges until the member is at Target. A member
 // that stopped at High would have no room for the next hot key of the same
 // load, and that key would then displace a range elsewhere.
@@ -83,39 +112,49 @@
 	return false
 }
 
+// end is one way to cut a segment: from its low or high end, for a member.
+type end struct {
+	to   int
+	high bool
+}
+
 // giveEnd moves a part of segment i with a load of at most want. A neighbour's
-// owner is preferred, because the two ranges then merge.
+// owner is preferred, because the two ranges then merge; otherwise the part
+// goes to the least loaded member. The other end is tried when a hot hash at
+// one end leaves too little to cut there.
 func (r *run) giveEnd(i int, want, limit float64, maxIncoming int, why Reason) bool {
-	from := r.segs[i].owner
-	to, high := -1, false
+	var ends []end
 	if i > 0 && r.neighbour(i-1, i, limit, maxIncoming) {
-		to = r.segs[i-1].owner
+		ends = append(ends, end{to: r.segs[i-1].owner})
 	}
 	if i+1 < len(r.segs) && r.neighbour(i+1, i, limit, maxIncoming) {
-		if next := r.segs[i+1].owner; to < 0 || r.ratio(next) < r.ratio(to) {
-			to, high = next, true
-		}
+		ends = append(ends, end{to: r.segs[i+1].owner, high: true})
 	}
-	if to < 0 {
-		var ok bool
-		if to, ok = r.receiver(0, limit, from, maxIncoming); !ok {
-			return false
-		}
+	if len(ends) == 2 && r.ratio(ends[1].to) < r.ratio(ends[0].to) {
+		ends[0], ends[1] = ends[1], ends[0]
 	}
-	want = min(want, limit*r.share[to]-r.load[to])
-	x, ok := r.prof.lowPart(r.segs[i].r, want)
-	if high {
-		x, ok = r.prof.highPart(r.segs[i].r, want)
+	if to, ok := r.receiver(0, limit, r.segs[i].owner, maxIncoming); ok {
+		ends = append(ends, end{to: to}, end{to: to, high: true})
 	}
-	if load := r.prof.load(x); !ok || load < leastGain*r.share[to] && x != r.segs[i].r {
+	return slices.ContainsFunc(ends, func(e end) bool { return r.cutEnd(i, e, want, limit, why) })
+}
+
+func (r *run) cutEnd(i int, e end, want, limit float64, why Reason) bool {
+	want = min(want, limit*r.share[e.to]-r.load[e.to])
+	cut := r.prof.lowPart
+	if e.high {
+		cut = r.prof.highPart
+	}
+	x, ok := cut(r.segs[i].r, want)
+	if !ok || r.prof.load(x) < leastGain*r.share[e.to] && x != r.segs[i].r {
 		return false
 	}
 	if why != ReasonUnowned && why != ReasonDrain {
-		if x, ok = r.affordable(x, high); !ok {
+		if x, ok = r.affordable(x, e.high); !ok {
 			return false
 		}
 	}
-	r.move(r.carve(i, x), to, why)
+	r.move(r.carve(i, x), e.to, why)
 	return true
 }
 
