--- a/journal/journal.go
+++ b/journal/journal.go
@@ -45,7 +45,10 @@
 	next   uint64
 	// open maps a burst to the sequence of its event. An entry whose event was
 	// overwritten is stale and is dropped when met.
-	open    map[burst]uint64
+	open map[burst]uint64
+	// swept is when open was last searched for ended bursts. Searching it for
+	// every refusal would make a storm of many customers expensive.
+	swept   time.Time
 	dropped uint64
 }
 
@@ -121,6 +124,10 @@
 
 // expireBursts forgets bursts that no refusal can join any more.
 func (j *Journal) expireBursts(now time.Time) {
+	if now.Sub(j.swept).Abs() < j.limits.Fold/4 {
+		return
+	}
+	j.swept = now
 	for key, seq := range j.open {
 		if e := j.bySequence(seq); e == nil || now.Sub(e.Until) > j.limits.Fold {
 			delete(j.open, key)
