--- a/placement/chain.go
+++ b/placement/chain.go
@@ -97,14 +97,14 @@
 	return false
 }
 
-// chain moves a hash that covers the excess of o to the member which has to
-// give away the fewest hashes of its own to make room.
+// chain moves a hash that covers the excess of o, or else its heaviest, to the
+// member which has to give away the fewest hashes of its own to make room.
 func (s *solution) chain(o int) bool {
 	excess := s.load[o] - s.r.cfg.Target*s.r.share[o]
 	var best *solution
 	hosts := s.lightest(o)
 	for n, h := range s.candidates(o, excess) {
-		if h.Rate < excess || n == chainHashes {
+		if n == chainHashes || n > 0 && h.Rate < excess {
 			break
 		}
 		for _, to := range hosts {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -61,7 +61,7 @@
 func DefaultConfig() Config {
 	return Config{
 		High: 1.17, Target: 1.10, RangeHigh: 1.185, Hold: 20 * time.Second, RangeHold: 30 * time.Second,
-		FillBelow: 0.5, FillHold: time.Minute,
+		FillBelow: 0.25, FillHold: 2 * time.Minute,
 		MaxMoves: 4, MaxIncoming: 1, MaxDrainMoves: 16,
 		Churn: 0.048, ChurnWindow: time.Minute, Cooldown: time.Minute, MinLoad: 50,
 		WarmUp: 2 * time.Second, Horizon: time.Minute, MoveTimeout: 15 * time.Second,
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -19,13 +19,21 @@
 // ranges follow only after RangeHold.
 func (r *run) relieve() {
 	r.resume()
-	for _, o := range r.overloaded() {
-		if r.ratio(o) <= r.cfg.High || len(r.queue) > 0 {
+	for tried := make([]bool, len(r.load)); len(r.queue) == 0; {
+		order := slices.DeleteFunc(r.overloaded(), func(o int) bool { return tried[o] })
+		if len(order) == 0 {
+			return
+		}
+		o := order[0]
+		if steps, ok := r.solve(o); ok && r.allowed(0) {
+			// The order is determined anew after each hash: the next of this
+			// member may be lighter than one that another must give away.
+			own := slices.IndexFunc(steps, func(s step) bool { return s.from == o })
+			r.commit(steps[:own+1])
 			continue
 		}
-		if steps, ok := r.solve(o); ok {
-			r.commit(steps)
-		} else if r.held(o, r.cfg.RangeHold) && r.ratio(o) > r.cfg.RangeHigh {
+		tried[o] = true
+		if r.held(o, r.cfg.RangeHold) && r.ratio(o) > r.cfg.RangeHigh {
 			r.relieveByRange(o)
 		}
 	}
