--- a/placement/isolate.go
+++ b/placement/isolate.go
@@ -105,6 +105,9 @@
 		if !r.held(o, r.cfg.Hold) && !r.host[o] && !r.resting(one) {
 			continue
 		}
+		if r.segs[i].busy && r.segs[i].r != one {
+			continue // it is moving as part of a range, which must stay whole
+		}
 		i = r.carve(i, one)
 		if to, ok := r.betterHost(o, giants); ok && !r.segs[i].busy && !r.resting(one) && r.allowed(0) {
 			r.move(i, to, ReasonIsolate)
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -115,6 +115,15 @@
 	return p
 }
 
+// atLeast raises the rate of a hash. The sums are stale until scaleHitters.
+func (p *profile) atLeast(h core.Hash, rate float64) {
+	i, found := slices.BinarySearchFunc(p.hitters, h, func(x Hitter, h core.Hash) int { return cmp.Compare(x.Hash, h) })
+	if !found {
+		p.hitters = slices.Insert(p.hitters, i, Hitter{Hash: h})
+	}
+	p.hitters[i].Rate = max(p.hitters[i].Rate, rate)
+}
+
 // scaleHitters multiplies the rate of each hitter.
 func (p *profile) scaleHitters(factor func(core.Hash) float64) {
 	p.hitSums = append(p.hitSums[:0], 0)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -98,8 +98,9 @@
 type Planner struct {
 	cfg    Config
 	recent []moved
-	// over and under hold since when a member is above High or below FillBelow.
-	over, under map[core.NodeID]clock.Instant
+	// over, steep and under hold since when a member is above High, above
+	// RangeHigh without a break, or below FillBelow.
+	over, steep, under map[core.NodeID]clock.Instant
 	// cold holds since when an isolated hash has not been hot.
 	cold map[core.Hash]clock.Instant
 	// seen holds since when each hash has been among the hitters.
@@ -133,8 +134,13 @@
 // Plan returns the changes for table under the given loads. Capacities are
 // indexed like the table's members; a missing one counts as weight 1. The
 // caller applies splits and merges at once and starts every move. The planner
-// considers a move running until the table shows it or MoveTimeout passes.
+// considers a move running until the table shows it or MoveTimeout passes. A
+// table that is not valid, or reaches outside the span of the loads, gets an
+// empty plan.
 func (p *Planner) Plan(now clock.Instant, table *core.Table, loads *Loads, capacities []Capacity) *Plan {
+	if !plannable(table, loads.span) {
+		return &Plan{}
+	}
 	prof := loads.profile(now)
 	p.mature(now, prof)
 	r := &run{Planner: p, model: newModel(table, prof, capacities), now: now, table: table, plan: &Plan{}}
@@ -157,9 +163,17 @@
 	return r.plan
 }
 
+func plannable(t *core.Table, span core.Range) bool {
+	if len(t.Members) == 0 || len(t.Entries) == 0 || t.Validate() != nil {
+		return false
+	}
+	return t.Entries[0].Range.Lo >= span.Lo && t.Entries[len(t.Entries)-1].Range.Hi <= span.Hi
+}
+
 // mature raises the rates of hashes that became hot a short while ago to where
-// their sketches are heading. A host chosen by the lower rate would be above
-// its share a few seconds later.
+// their sketches are heading, and those of hashes that just moved to what they
+// were. A host chosen by the lower rate would be above its share a few seconds
+// later.
 func (p *Planner) mature(now clock.Instant, prof *profile) {
 	seen := make(map[core.Hash]clock.Instant, len(prof.hitters))
 	for _, h := range prof.hitters {
@@ -174,6 +188,12 @@
 		age := now.Sub(seen[h]).Seconds() / HalfLife.Seconds()
 		return min(maxGrowth, 1/(1-math.Exp2(-max(age, 0.1))))
 	})
+	for _, m := range p.recent {
+		if m.r.Lo == m.r.Hi && now.Sub(m.at) < settleTime {
+			prof.atLeast(m.r.Lo, m.load)
+		}
+	}
+	prof.scaleHitters(func(core.Hash) float64 { return 1 })
 }
 
 // settle forgets old moves, applies running ones to the model and computes how
@@ -191,7 +211,7 @@
 		to := slices.IndexFunc(r.table.Members, func(x core.Member) bool { return x.Node == m.to })
 		at := r.find(m.r.Lo)
 		done := at >= 0 && r.segs[at].owner == to
-		if done && r.now.Sub(m.at) < settleTime {
+		if done && m.r.Lo != m.r.Hi && r.now.Sub(m.at) < settleTime {
 			r.load[to] += max(0, m.load-r.prof.load(m.r))
 		}
 		if !m.running {
@@ -225,7 +245,7 @@
 // leaves the list only below Target, so that noise around High does not start
 // the time anew.
 func (r *run) watch() {
-	over, under := map[core.NodeID]clock.Instant{}, map[core.NodeID]clock.Instant{}
+	over, steep, under := map[core.NodeID]clock.Instant{}, map[core.NodeID]clock.Instant{}, map[core.NodeID]clock.Instant{}
 	for o, m := range r.table.Members {
 		ratio := r.ratio(o)
 		since, was := r.over[m.Node]
@@ -235,14 +255,29 @@
 		case ratio > r.cfg.High:
 			over[m.Node] = r.now
 		}
-		if since, was := r.under[m.Node]; r.share[o] > 0 && ratio < r.cfg.FillBelow {
-			if !was {
-				since = r.now
-			}
-			under[m.Node] = since
+		if ratio > r.cfg.RangeHigh {
+			steep[m.Node] = first(r.steep, m.Node, r.now)
 		}
+		if r.share[o] > 0 && ratio < r.cfg.FillBelow {
+			under[m.Node] = first(r.under, m.Node, r.now)
+		}
+	}
+	r.over, r.steep, r.under = over, steep, under
+}
+
+// first returns the time that a map holds for a node, or now.
+func first(since map[core.NodeID]clock.Instant, node core.NodeID, now clock.Instant) clock.Instant {
+	if at, ok := since[node]; ok {
+		return at
 	}
-	r.over, r.under = over, under
+	return now
+}
+
+// ranged reports whether a member needs relief by ranges. A short peak of the
+// measured ratio is not enough.
+func (r *run) ranged(o int) bool {
+	since, ok := r.steep[r.table.Members[o].Node]
+	return ok && r.held(o, r.cfg.RangeHold) && r.now.Sub(since) >= r.cfg.RangeHold/2 && r.ratio(o) > r.cfg.RangeHigh
 }
 
 // held reports whether a member has been above High for the given time.
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		tried[o] = true
-		if r.held(o, r.cfg.RangeHold) && r.ratio(o) > r.cfg.RangeHigh {
+		if r.ranged(o) {
 			r.relieveByRange(o)
 		}
 	}
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -109,6 +109,7 @@
 		lo := core.Hash(i) * step
 		t.Entries = append(t.Entries, core.Entry{Range: core.Range{Lo: lo, Hi: lo + step - 1}, Owner: i})
 	}
+	t.Entries[owners-1].Range.Hi = core.FullRange.Hi
 	return t
 }
 
