--- /dev/null
+++ b/frontend/outcome_test.go
@@ -0,0 +1,233 @@
+package frontend_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"marjoramshore.example/core"
+	"marjoramshore.example/frontend"
+	"marjoramshore.example/gate"
+)
+
+type failure struct {
+	Outcome, Reason, Detail string
+	RequestID               string `json:"request_id"`
+	RetryAfterMs            int64  `json:"retry_after_ms"`
+}
+
+// expectFailure checks the parts of a failed answer against each other.
+func expectFailure(t *testing.T, r *http.Request, status int, outcome core.Outcome, reason string) *http.Response {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var f failure
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&f))
+	must.Eq(t, status, resp.StatusCode, must.Sprint(f))
+	must.Eq(t, string(outcome), f.Outcome)
+	must.Eq(t, reason, f.Reason)
+	must.Eq(t, f.Outcome, resp.Header.Get(frontend.HeaderOutcome))
+	must.Eq(t, f.Reason, resp.Header.Get(frontend.HeaderReason))
+	must.Eq(t, f.RequestID, resp.Header.Get(frontend.HeaderRequestID))
+	must.NotEq(t, "", f.RequestID)
+	return resp
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// hang reads the body first: net/http notices a closed connection only then.
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// Maps each way a request can fail on the path to what its caller sees, and
+// guards I4: a refusal must not have reached the backend server.
+func TestFailureToOutcome(t *testing.T) {
+	notRun := core.OutcomeRefusedNotRun
+	for _, tc := range []struct {
+		name    string
+		backend http.HandlerFunc
+		tune    func(*frontend.Config, *gate.Config)
+		broken  func(*path)
+		change  func(*http.Request)
+		status  int
+		outcome core.Outcome
+		reason  string
+	}{
+		{name: "no service", change: func(r *http.Request) { r.Header.Del(frontend.HeaderService) }, status: 400, outcome: core.OutcomeBadRequest, reason: "invalid"},
+		{name: "peer down", broken: func(p *path) { _ = p.server.Close() }, status: 503, outcome: notRun, reason: "peer-unreachable"},
+		{name: "backend down", broken: func(p *path) { p.backend.Close() }, status: 503, outcome: notRun, reason: "backend-down"},
+		{name: "owner shuts down", broken: func(p *path) { _ = p.gate.Shutdown(context.Background()) }, status: 503, outcome: notRun, reason: "draining"},
+		{name: "lease over", tune: func(_ *frontend.Config, g *gate.Config) {
+			g.Permit = func(*core.Request) (gate.Permit, error) { return gate.Permit{}, nil }
+		}, status: 503, outcome: notRun, reason: "lease-expired"},
+		{name: "backend breaks off", backend: abort, status: 502, outcome: core.OutcomeUnknown, reason: "unknown"},
+		{name: "deadline while running", backend: hang,
+			change: func(r *http.Request) { r.Header.Set(frontend.HeaderDeadline, "100") },
+			status: 502, outcome: core.OutcomeUnknown, reason: "unknown"},
+		{name: "body too large", tune: func(f *frontend.Config, _ *gate.Config) { f.MaxBodyBytes = 3 }, status: 413, outcome: core.OutcomeBadRequest, reason: "too-large"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ran := make(chan struct{}, 1)
+			p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				ran <- struct{}{}
+				if tc.backend == nil {
+					tc.backend = ok
+				}
+				tc.backend(w, r)
+			}), tc.tune)
+			if tc.broken != nil {
+				tc.broken(p)
+			}
+			r := request(t, "POST", p.url+"/", strings.NewReader("body"))
+			if tc.change != nil {
+				tc.change(r)
+			}
+			expectFailure(t, r, tc.status, tc.outcome, tc.reason)
+			must.Eq(t, tc.outcome != core.OutcomeUnknown, len(ran) == 0)
+		})
+	}
+}
+
+func newFrontend(t *testing.T, cfg frontend.Config) (*frontend.Frontend, string) {
+	t.Helper()
+	cfg.Addr = "127.0.0.1:0"
+	f, err := frontend.New(cfg)
+	must.NoError(t, err)
+	f.Start()
+	t.Cleanup(func() { _ = f.Close() })
+	return f, "http://" + f.Addr() + "/"
+}
+
+// Guards against a code whose status or outcome misleads the caller.
+func TestEveryCodeHasItsAnswer(t *testing.T) {
+	var next *core.Error
+	_, url := newFrontend(t, frontend.Config{Handler: core.HandlerFunc(func(context.Context, *core.Request) (*core.Response, error) {
+		return nil, next
+	})})
+	for code := core.CodeInvalid; code <= core.CodeTooLarge; code++ {
+		next = &core.Error{Code: code, RetryAfter: 1200 * time.Millisecond, Owner: "10.1.1.1:80"}
+		r := request(t, "GET", url, nil)
+		r.Header.Set(frontend.HeaderRequestID, "mine")
+		resp := expectFailure(t, r, frontend.StatusOf(code), code.Outcome(), code.String())
+		must.Eq(t, "mine", resp.Header.Get(frontend.HeaderRequestID))
+		must.Eq(t, "10.1.1.1:80", resp.Header.Get(frontend.HeaderOwner))
+		must.Eq(t, "2", resp.Header.Get("Retry-After"))
+		must.Eq(t, code.NotRun(), code.Outcome() != core.OutcomeUnknown && code.Outcome() != core.OutcomeAborted && code != core.CodeTooLarge)
+	}
+}
+
+// Guards against exchanges beyond the bound, and against a shutdown that cuts
+// an exchange or hangs on an idle connection.
+func TestBoundAndShutdown(t *testing.T) {
+	release := make(chan struct{})
+	f, url := newFrontend(t, frontend.Config{MaxExchanges: 1, Handler: core.HandlerFunc(func(_ context.Context, r *core.Request) (*core.Response, error) {
+		<-release
+		return &core.Response{Status: 200, Length: 2, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+	})})
+	idle, err := net.Dial("tcp", f.Addr())
+	must.NoError(t, err)
+	defer idle.Close()
+	first := make(chan error, 1)
+	r := request(t, "GET", url, nil)
+	go func() {
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+		}
+		first <- err
+	}()
+	for f.Stats().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	expectFailure(t, request(t, "GET", url, nil), 503, core.OutcomeRefusedNotRun, "overloaded")
+	down := make(chan error, 1)
+	go func() { down <- f.Shutdown(context.Background()) }()
+	select {
+	case <-down:
+		t.Fatal("shutdown did not wait")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	must.NoError(t, await(t, first, "the running exchange"))
+	must.NoError(t, await(t, down, "the shutdown"))
+}
+
+// Guards against connections beyond the bound.
+func TestConnectionBound(t *testing.T) {
+	f, _ := newFrontend(t, frontend.Config{MaxConns: 1, Handler: core.HandlerFunc(nil)})
+	a, err := net.Dial("tcp", f.Addr())
+	must.NoError(t, err)
+	defer a.Close()
+	for f.Stats().Conns == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b, err := net.Dial("tcp", f.Addr())
+	must.NoError(t, err)
+	defer b.Close()
+	_ = b.SetReadDeadline(time.Now().Add(patience))
+	_, err = b.Read(make([]byte, 1))
+	must.Error(t, err)
+	must.Eq(t, uint64(1), f.Stats().RefusedConns)
+}
+
+// Guards against callers that hold a connection by sending slowly.
+func TestSlowCallers(t *testing.T) {
+	got := make(chan error, 1)
+	f, _ := newFrontend(t, frontend.Config{
+		HeaderTimeout: 50 * time.Millisecond, BodyIdleTimeout: 50 * time.Millisecond,
+		Handler: core.HandlerFunc(func(_ context.Context, r *core.Request) (*core.Response, error) {
+			_, err := io.Copy(io.Discard, r.Body)
+			got <- err
+			return nil, core.Wrap(core.CodeCanceledNotRun, err, "cut")
+		}),
+	})
+	head := "POST / HTTP/1.1\r\nHost: x\r\nMarjoram-Service: s\r\nMarjoram-Key: k\r\n"
+	for _, sent := range []string{head, head + "Transfer-Encoding: chunked\r\n\r\n5\r\nab"} {
+		c, err := net.Dial("tcp", f.Addr())
+		must.NoError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, sent)
+		must.NoError(t, err)
+		_ = c.SetReadDeadline(time.Now().Add(patience))
+		_, err = io.Copy(io.Discard, c)
+		must.NoError(t, err) // closed by the server in time
+	}
+	must.Error(t, await(t, got, "the body to fail"))
+}
+
+// Guards against request smuggling: an ambiguous head must end its connection.
+func TestAmbiguousFramingCloses(t *testing.T) {
+	f, _ := newFrontend(t, frontend.Config{Handler: core.HandlerFunc(func(context.Context, *core.Request) (*core.Response, error) {
+		return &core.Response{Status: 200, Body: core.NoBody}, nil
+	})})
+	for _, framing := range []string{
+		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 3\r\nContent-Length: 5\r\n",
+		"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		c, err := net.Dial("tcp", f.Addr())
+		must.NoError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nMarjoram-Service: s\r\nMarjoram-Key: k\r\n"+framing+"\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: x\r\nMarjoram-Service: s\r\nMarjoram-Key: k\r\n\r\n")
+		must.NoError(t, err)
+		_ = c.SetReadDeadline(time.Now().Add(patience))
+		br := bufio.NewReader(c)
+		resp, err := http.ReadResponse(br, nil)
+		must.NoError(t, err)
+		must.Eq(t, 400, resp.StatusCode, must.Sprint(framing))
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_, err = http.ReadResponse(br, nil)
+		must.Error(t, err)
+	}
+}
--- a/transport/classify.go
+++ b/transport/classify.go
@@ -64,26 +64,15 @@
 	return nil
 }
 
-// streamError has the shape of net/http's unexported HTTP/2 stream error, which
-// converts itself to any struct of this shape through errors.As.
-type streamError struct {
-	StreamID uint32
-	Code     uint32
-	Cause    error
-}
-
-func (streamError) Error() string { return "http2 stream error" }
-
-// refusedStream is REFUSED_STREAM (RFC 9113, 7): no processing took place.
-const refusedStream = 0x7
-
 // unprocessed reports whether HTTP/2 guarantees that the peer did not process
-// the stream: REFUSED_STREAM, or GOAWAY with a smaller last stream, for which
-// net/http has a fixed text and no exported type.
+// the stream (RFC 9113, 8.7): REFUSED_STREAM, or GOAWAY with a smaller last
+// stream. net/http exports no type for either, so its texts are matched; they
+// are pinned by a test, and an unknown text proves nothing.
 func unprocessed(err error) bool {
-	var se streamError
-	if errors.As(err, &se) {
-		return se.Code == refusedStream
+	if connect.IsWireError(err) {
+		return false // a text of the peer, not of the library
 	}
-	return strings.Contains(err.Error(), "Server's graceful shutdown GOAWAY")
+	text := err.Error()
+	return strings.Contains(text, "REFUSED_STREAM; received from peer") ||
+		strings.Contains(text, "Server's graceful shutdown GOAWAY")
 }
