Send a small answer of known length as one frame

An answer of at most 32 KiB took a head frame, data frames and an end frame, and a fresh 32 KiB buffer. It is now one frame; other copies take their buffer from a pool. A small answer that is cut is reported before its head, as aborted.

--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -1,11 +1,9 @@
 package transport
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
@@ -58,7 +56,8 @@
 func (x *outgoing) send(head *peerv1.ExchangeFrame, body io.Reader, small bool) error {
 	if small {
 		// A failure to send shows as the failure to receive.
-		_ = sendBody(head, bytes.NewReader(nil), true, x.stream.Send)
+		head.End = true
+		_ = x.stream.Send(head)
 		_ = x.stream.CloseRequest()
 		return nil
 	}
@@ -72,7 +71,7 @@
 // upload sends the body. A body that breaks off resets the stream, which the
 // peer sees as a cut.
 func (x *outgoing) upload(head *peerv1.ExchangeFrame, body io.Reader) {
-	err := sendBody(head, body, false, x.stream.Send)
+	err := sendBody(head, body, x.stream.Send)
 	if err == nil {
 		_ = x.stream.CloseRequest()
 		return
@@ -102,7 +101,7 @@
 		return nil, err
 	}
 	length := resp.Length
-	if x.method == http.MethodHead || resp.Status == http.StatusNotModified {
+	if bodyless(x.method, resp.Status) {
 		length = core.UnknownLength // the head announces a length that it does not carry
 	}
 	resp.Body = &incoming{x: x, src: newFrameReader(f, length, x.stream.Receive)}
--- a/transport/frame.go
+++ b/transport/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"marjoramshore.example/core"
 	"marjoramshore.example/transport/peerv1"
@@ -64,19 +65,37 @@
 	return n, nil
 }
 
+// sendWhole sends head, body and end in one frame, for a body of known length
+// up to frameSize. It is sent only once it is complete.
+func sendWhole(head *peerv1.ExchangeFrame, body io.Reader, length int64, send func(*peerv1.ExchangeFrame) error) error {
+	if length > 0 {
+		head.Data = make([]byte, length)
+		if _, err := io.ReadFull(body, head.Data); err != nil {
+			return core.Wrap(core.CodeAborted, err, "body cut")
+		}
+	}
+	// The source confirms its proper end only with the read after the last byte.
+	var one [1]byte
+	if n, err := io.ReadFull(body, one[:]); n > 0 || err != io.EOF {
+		return core.Wrap(core.CodeAborted, err, "body cut")
+	}
+	head.End = true
+	return send(head)
+}
+
+// buffers holds the copy buffers of streamed bodies.
+var buffers = sync.Pool{New: func() any { return new([frameSize]byte) }}
+
 // sendBody sends body as frames and the end frame. The first frame carries
 // head. Each read is sent at once, so that a trickling body is not held back.
-func sendBody(head *peerv1.ExchangeFrame, body io.Reader, empty bool, send func(*peerv1.ExchangeFrame) error) error {
-	if empty {
-		head.End = true
-		return send(head)
-	}
+func sendBody(head *peerv1.ExchangeFrame, body io.Reader, send func(*peerv1.ExchangeFrame) error) error {
 	if err := send(head); err != nil {
 		return &sendError{cause: err}
 	}
-	buf := make([]byte, frameSize)
+	buf := buffers.Get().(*[frameSize]byte)
+	defer buffers.Put(buf)
 	for {
-		n, err := body.Read(buf)
+		n, err := body.Read(buf[:])
 		if n > 0 || err == io.EOF {
 			f := &peerv1.ExchangeFrame{Data: buf[:n], End: err == io.EOF}
 			if serr := send(f); serr != nil {
--- a/transport/handler.go
+++ b/transport/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"connectrpc.com/connect"
 	"marjoramshore.example/core"
@@ -56,7 +57,7 @@
 	if err != nil {
 		return refuse(stream, err)
 	}
-	return respond(stream, resp)
+	return respond(stream, req.Method, resp)
 }
 
 func refuse(stream *serverStream, err error) error {
@@ -65,15 +66,32 @@
 	})
 }
 
-func respond(stream *serverStream, resp *core.Response) error {
+func respond(stream *serverStream, method string, resp *core.Response) error {
 	defer func() { _ = resp.Body.Close() }()
 	head := &peerv1.ExchangeFrame{Head: &peerv1.ExchangeFrame_Response{Response: encodeResponse(resp)}}
-	if err := sendBody(head, resp.Body, resp.Body == core.NoBody, stream.Send); err != nil {
+	length := resp.Length
+	if bodyless(method, resp.Status) {
+		length = 0
+	}
+	var err error
+	if length >= 0 && length <= frameSize {
+		if err = sendWhole(head, resp.Body, length, stream.Send); core.CodeOf(err) == core.CodeAborted {
+			return refuse(stream, err) // nothing of the answer was sent
+		}
+	} else {
+		err = sendBody(head, resp.Body, stream.Send)
+	}
+	if err != nil {
 		return connect.NewError(connect.CodeAborted, err)
 	}
 	return nil
 }
 
+// bodyless reports whether a response has no body whatever its head announces.
+func bodyless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // FetchTable implements peerv1connect.PeerHandler.
 func (h *peerHandler) FetchTable(ctx context.Context, req *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error) {
 	if h.s.cfg.FetchTable == nil {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -77,8 +77,9 @@
 
 // Guards against an answer without a body that fails its announced length.
 func TestHeadAnswerKeepsLength(t *testing.T) {
+	length := int64(500)
 	s, c := newPair(t, ServerConfig{Handler: core.HandlerFunc(func(context.Context, *core.Request) (*core.Response, error) {
-		return answer(200, 500, ""), nil
+		return answer(200, length, ""), nil
 	})})
 	resp, err := c.Exchange(t.Context(), s.Addr(), newRequest("HEAD", ""))
 	must.NoError(t, err)
@@ -86,7 +87,10 @@
 	must.NoError(t, err)
 	must.Eq(t, 0, len(b))
 	must.Eq(t, int64(500), resp.Length)
-	// The same answer to a GET is cut.
+	// The same answer to a GET is cut, and so is a longer one.
+	_, err = c.Exchange(t.Context(), s.Addr(), newRequest("GET", ""))
+	must.Eq(t, core.CodeAborted, core.CodeOf(err))
+	length = frameSize + 1
 	resp, err = c.Exchange(t.Context(), s.Addr(), newRequest("GET", ""))
 	must.NoError(t, err)
 	_, err = io.ReadAll(resp.Body)
