Let connections to a busy peer grow with its load

One HTTP/2 connection serializes its frames in one goroutine at each end. With 128 streams for each connection net/http opens more only where a peer needs them, so idle pairs of nodes keep one. A bound below 100 made net/http exceed it before it had the settings, which showed as refused and reset streams, so 100 is the least.

--- a/transport/client.go
+++ b/transport/client.go
@@ -25,8 +25,6 @@
 	TLS *tls.Config
 	// DialTimeout bounds a new connection; 500 ms.
 	DialTimeout time.Duration
-	// Lanes is the number of HTTP/2 connections to each peer; 1.
-	Lanes int
 	// Uploads bounds concurrent bodies that are being sent; 1024. Beyond it an
 	// exchange with a large body is refused as not run.
 	Uploads int
@@ -36,9 +34,6 @@
 	if c.DialTimeout <= 0 {
 		c.DialTimeout = 500 * time.Millisecond
 	}
-	if c.Lanes <= 0 {
-		c.Lanes = 1
-	}
 	if c.Uploads <= 0 {
 		c.Uploads = 1024
 	}
@@ -58,9 +53,7 @@
 // Client sends exchanges, table requests and calls to peers by address.
 type Client struct {
 	auth    *Authenticator
-	lanes   []*http.Transport
-	scheme  string
-	next    atomic.Uint32
+	http    *http.Transport
 	rpc     peerv1connect.PeerClient
 	uploads *ants.Pool
 	counts  struct{ exchanges, abandoned atomic.Uint64 }
@@ -76,16 +69,14 @@
 	if err != nil {
 		return nil, core.Wrap(core.CodeInternal, err, "transport: upload pool")
 	}
-	c := &Client{auth: cfg.Auth, scheme: "http", uploads: uploads}
+	c := &Client{auth: cfg.Auth, http: newHTTPTransport(cfg), uploads: uploads}
+	base := "http://peer"
 	if cfg.TLS != nil {
-		c.scheme = "https"
-	}
-	for range cfg.Lanes {
-		c.lanes = append(c.lanes, newLane(cfg))
+		base = "https://peer"
 	}
 	// The address of each call travels in its context, so one client serves
 	// all peers and no table of clients grows with the fleet.
-	c.rpc = peerv1connect.NewPeerClient(&http.Client{Transport: c}, c.scheme+"://peer",
+	c.rpc = peerv1connect.NewPeerClient(&http.Client{Transport: c}, base,
 		connect.WithReadMaxBytes(maxMessage),
 		connect.WithAcceptCompression("gzip", nil, nil),
 		connect.WithCompressMinBytes(math.MaxInt),
@@ -93,7 +84,9 @@
 	return c, nil
 }
 
-func newLane(cfg ClientConfig) *http.Transport {
+// newHTTPTransport makes the pool of connections. net/http opens a further
+// connection to a peer when the others carry as many streams as it allows.
+func newHTTPTransport(cfg ClientConfig) *http.Transport {
 	d := net.Dialer{Timeout: cfg.DialTimeout}
 	return &http.Transport{
 		DialContext:         d.DialContext,
@@ -130,8 +123,7 @@
 	// Without it net/http sends no request again on its own.
 	out.GetBody = nil
 	out.Header.Set("Authorization", c.auth.Sign(u.Path, time.Now()))
-	lane := c.lanes[int(c.next.Add(1))%len(c.lanes)]
-	return lane.RoundTrip(out)
+	return c.http.RoundTrip(out)
 }
 
 // FetchTable asks the peer at addr for a table.
@@ -165,9 +157,7 @@
 
 // Close drops idle connections. Running exchanges end through their contexts.
 func (c *Client) Close() error {
-	for _, l := range c.lanes {
-		l.CloseIdleConnections()
-	}
+	c.http.CloseIdleConnections()
 	c.uploads.Release()
 	return nil
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -38,7 +38,11 @@
 	TLS *tls.Config
 	// MaxConns bounds connections; 8192, twice the fleet and some.
 	MaxConns int
-	// MaxStreams bounds concurrent streams of one connection; 1024.
+	// MaxStreams bounds concurrent streams of one connection; 128, and at
+	// least 100. A peer opens a further connection beyond it, so a small bound
+	// spreads the load of one peer over several connections. A client of
+	// net/http assumes 100 until it has the settings, and its streams beyond
+	// a smaller bound would be refused.
 	MaxStreams int
 	// MaxExchanges bounds concurrent exchanges; beyond it they are refused as
 	// not run; 8192.
@@ -50,8 +54,9 @@
 		c.MaxConns = 8192
 	}
 	if c.MaxStreams <= 0 {
-		c.MaxStreams = 1024
+		c.MaxStreams = 128
 	}
+	c.MaxStreams = max(c.MaxStreams, 100)
 	if c.MaxExchanges <= 0 {
 		c.MaxExchanges = 8192
 	}
