Encode answer heads in the frontend, and keep field rules in one place

hertz always writes its own Date and merges Set-Cookie fields of one name, so the answers of backend servers were changed.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -2,12 +2,9 @@
 
 import (
 	"io"
-	"net/http"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"marjoramshore.example/core"
 )
 
@@ -24,6 +21,7 @@
 // final chunk when its reader fails, which presents a cut answer as whole.
 type answer struct {
 	x      *exchange
+	fields []core.Field
 	broken bool
 }
 
@@ -47,15 +45,16 @@
 	return nil
 }
 
-func (a *answer) set(name, value string) { a.x.rc.Response.Header.Set(name, value) }
+func (a *answer) set(name, value string) {
+	a.fields = append(a.fields, core.Field{Name: name, Value: value})
+}
 
 // relay passes a backend server's response on.
 func (a *answer) relay(r *core.Response) {
 	defer func() { _ = r.Body.Close() }()
-	h := &a.x.rc.Response.Header
-	for _, f := range r.Header {
-		if !hopByHop[f.Name] && !answerFields[f.Name] {
-			h.Add(f.Name, f.Value)
+	for _, f := range core.EndToEnd(r.Header) {
+		if !answerFields[f.Name] {
+			a.fields = append(a.fields, f)
 		}
 	}
 	a.set(HeaderOutcome, string(core.OutcomeAnswered))
@@ -73,78 +72,69 @@
 
 // write sends the head and streams the body.
 func (a *answer) write(status int, length int64, body io.Reader) {
-	rc := a.x.rc
-	rc.SetStatusCode(status)
-	if a.mustClose() {
-		rc.SetConnectionClose()
+	req := &a.x.rc.Request.Header
+	h := answerHead{
+		status: status, length: length, fields: a.fields, date: time.Now(),
+		http11: req.IsHTTP11(), head: req.IsHead(), close: a.mustClose(),
 	}
-	h := &rc.Response.Header
-	chunked := false
-	switch {
-	case bodyless(status):
-		h.SetContentLength(0)
-		h.SetNoDefaultContentType(true)
-	case length >= 0:
-		h.SetContentLength(int(length))
-	case rc.Request.Header.IsHTTP11():
-		chunked = true
-		h.SetContentLength(-1)
-	default:
-		h.SetContentLength(-2) // ends with the connection; a cut is a reset
-		rc.SetConnectionClose()
+	h.complete()
+	if h.close {
+		a.x.rc.SetConnectionClose() // tells hertz to end the connection
 	}
-	if err := a.send(h, body, length, chunked, bodyless(status) || rc.Request.Header.IsHead()); err != nil {
+	if err := a.send(&h, body); err != nil {
 		a.broken = true
 		a.x.f.counts.cut.Add(1)
 	}
 }
 
-func bodyless(status int) bool {
-	return status == http.StatusNoContent || status == http.StatusNotModified
-}
-
 func (a *answer) mustClose() bool {
 	x := a.x
 	return x.rc.Request.Header.ConnectionClose() || x.f.draining.Load() || x.pendingBody()
 }
 
-func (a *answer) send(h *protocol.ResponseHeader, body io.Reader, length int64, chunked, noBody bool) error {
+func (a *answer) send(h *answerHead, body io.Reader) error {
 	w := a.x.rc.GetWriter()
-	if err := resp.WriteHeader(h, w); err != nil {
+	if _, err := w.WriteBinary(h.encode()); err != nil {
 		return err
 	}
-	if noBody {
+	if h.bodyless() {
 		return a.flush()
 	}
-	buf := make([]byte, a.bufferSize(length))
+	sent, err := a.copy(body, h)
+	switch {
+	case err != nil:
+		return err
+	case h.length >= 0 && sent != h.length:
+		return BrokenAnswerError{}
+	case h.chunked:
+		if _, err := w.WriteBinary(finalChunk); err != nil {
+			return err
+		}
+	}
+	return a.flush()
+}
+
+// finalChunk ends a chunked body without trailers.
+var finalChunk = []byte("0\r\n\r\n")
+
+func (a *answer) copy(body io.Reader, h *answerHead) (int64, error) {
+	buf := make([]byte, a.bufferSize(h.length))
 	sent := int64(0)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
 			sent += int64(n)
-			if werr := a.part(buf[:n], chunked); werr != nil {
-				return werr
+			if werr := a.part(buf[:n], h.chunked); werr != nil {
+				return sent, werr
 			}
 		}
 		if err == io.EOF {
-			break
+			return sent, nil
 		}
 		if err != nil {
-			return err
-		}
-	}
-	if length >= 0 && sent != length {
-		return BrokenAnswerError{}
-	}
-	if chunked {
-		if err := ext.WriteChunk(w, nil, false); err != nil {
-			return err
-		}
-		if err := ext.WriteTrailer(h.Trailer(), w); err != nil {
-			return err
+			return sent, err
 		}
 	}
-	return a.flush()
 }
 
 func (a *answer) bufferSize(length int64) int64 {
--- /dev/null
+++ b/frontend/header_test.go
@@ -0,0 +1,84 @@
+package frontend_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"marjoramshore.example/gate"
+)
+
+// Guards against header fields that the HTTP library adds, merges or rewrites.
+func TestHeadersSurviveThePath(t *testing.T) {
+	var got *http.Request
+	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		h := w.Header()
+		h["Set-Cookie"] = []string{"a=1; Path=/x", "a=2; Path=/y; HttpOnly"}
+		h.Set("Date", "Mon, 02 Jan 2006 15:04:05 GMT")
+		h.Set("Server", "stand-in")
+		h.Set("Content-Encoding", "br")
+		h.Set("ETag", `"v1"`)
+		h["Vary"] = []string{"A", "B"}
+		h.Set("Marjoram-Outcome", "forged")
+		h.Set("Marjoram-Owner", "forged")
+		w.WriteHeader(http.StatusTeapot)
+	}), nil)
+	r := request(t, "DELETE", p.url+"//a/%2Fb?x=%20&y", nil)
+	r.Host = "tiles.example"
+	r.Header["X-Multi"] = []string{"1", "2"}
+	r.Header.Set("User-Agent", "ua")
+	r.Header.Set("Cookie", "c=1; d=2")
+	r.Header.Set("Accept-Encoding", "zstd")
+	r.Header.Set("Marjoram-Fencing-Token", "9.9")
+	resp, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	_ = resp.Body.Close()
+	must.Eq(t, "//a/%2Fb?x=%20&y", got.RequestURI)
+	must.Eq(t, "tiles.example", got.Host)
+	must.Eq(t, []string{"1", "2"}, got.Header["X-Multi"])
+	for name, want := range map[string]string{"User-Agent": "ua", "Cookie": "c=1; d=2", "Accept-Encoding": "zstd", "Marjoram-Fencing-Token": "", gate.HeaderIdempotent: "true"} {
+		must.Eq(t, want, got.Header.Get(name), must.Sprint(name))
+	}
+	must.Eq(t, http.StatusTeapot, resp.StatusCode)
+	for name, want := range map[string][]string{
+		"Set-Cookie": {"a=1; Path=/x", "a=2; Path=/y; HttpOnly"}, "Date": {"Mon, 02 Jan 2006 15:04:05 GMT"},
+		"Server": {"stand-in"}, "Content-Encoding": {"br"}, "Etag": {`"v1"`}, "Vary": {"A", "B"},
+		"Marjoram-Outcome": {"answered"}, "Marjoram-Owner": nil, "Content-Type": nil,
+	} {
+		must.Eq(t, want, resp.Header[name], must.Sprint(name))
+	}
+}
+
+// Guards against a HEAD or bodiless answer that stalls or corrupts its
+// connection.
+func TestBodilessAnswersKeepTheConnection(t *testing.T) {
+	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/204":
+			w.WriteHeader(204)
+		case "/304":
+			w.WriteHeader(304)
+		default:
+			w.Header().Set("Content-Length", "100000")
+			_, _ = io.WriteString(w, strings.Repeat("x", 100_000))
+		}
+	}), nil)
+	for _, c := range []struct {
+		method, path string
+		status       int
+		length       int64
+	}{{"HEAD", "/big", 200, 100_000}, {"GET", "/204", 204, 0}, {"GET", "/304", 304, 0}, {"GET", "/big", 200, 100_000}, {"HEAD", "/big", 200, 100_000}} {
+		resp, err := http.DefaultClient.Do(request(t, c.method, p.url+c.path, nil))
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+		_ = resp.Body.Close()
+		must.Eq(t, c.status, resp.StatusCode)
+		must.Eq(t, c.length, resp.ContentLength)
+	}
+	must.Eq(t, int64(1), p.front.Stats().Conns)
+	must.Eq(t, uint64(0), p.front.Stats().Cut)
+}
--- a/frontend/parse.go
+++ b/frontend/parse.go
@@ -82,7 +82,7 @@
 // split separates the fields of this protocol from those of the application.
 // Callers cannot pass reserved fields on, such as a fencing token.
 func (p *parser) split(fields []core.Field) {
-	dropped := connectionFields(fields)
+	rest := make([]core.Field, 0, len(fields))
 	for _, f := range fields {
 		name := textproto.CanonicalMIMEHeaderKey(f.Name)
 		switch {
@@ -93,11 +93,11 @@
 				p.fail("repeated header: " + name)
 			}
 			p.own[name] = strings.TrimSpace(f.Value)
-		case hopByHop[name] || dropped[name]:
 		default:
-			p.req.Header = append(p.req.Header, core.Field{Name: name, Value: f.Value})
+			rest = append(rest, f)
 		}
 	}
+	p.req.Header = core.EndToEnd(rest)
 }
 
 func (p *parser) id() {
@@ -210,30 +210,3 @@
 var idempotentMethods = map[string]bool{
 	"GET": true, "HEAD": true, "PUT": true, "DELETE": true, "OPTIONS": true,
 }
-
-// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1),
-// and those that the next encoder writes from the message itself.
-var hopByHop = map[string]bool{
-	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true,
-	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Expect": true, "Content-Length": true,
-}
-
-// connectionFields returns the names that Connection fields declare as
-// hop-by-hop.
-func connectionFields(fields []core.Field) map[string]bool {
-	var names map[string]bool
-	for _, f := range fields {
-		if !strings.EqualFold(f.Name, "Connection") {
-			continue
-		}
-		for name := range strings.SplitSeq(f.Value, ",") {
-			if names == nil {
-				names = make(map[string]bool)
-			}
-			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return names
-}
--- a/gate/encode.go
+++ b/gate/encode.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -31,15 +30,6 @@
 
 const reservedPrefix = "Marjoram-"
 
-// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1),
-// and those that the encoder writes from the message itself.
-var hopByHop = map[string]bool{
-	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true,
-	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Expect": true, "Content-Length": true,
-}
-
 // encode builds the HTTP request, apart from what the permit adds.
 func encode(req *core.Request, body io.Reader, length int64) (*http.Request, error) {
 	u, err := url.ParseRequestURI(req.Path)
@@ -54,15 +44,13 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: length,
 	}
-	dropped := connectionFields(req.Header)
-	for _, f := range req.Header {
-		name := textproto.CanonicalMIMEHeaderKey(f.Name)
+	for _, f := range core.EndToEnd(req.Header) {
 		switch {
-		case name == "Host":
+		case f.Name == "Host":
 			hr.Host = f.Value
-		case hopByHop[name], dropped[name], strings.HasPrefix(name, reservedPrefix), name == HeaderIdempotencyKey:
+		case strings.HasPrefix(f.Name, reservedPrefix), f.Name == HeaderIdempotencyKey:
 		default:
-			h[name] = append(h[name], f.Value)
+			h[f.Name] = append(h[f.Name], f.Value)
 		}
 	}
 	setOwn(h, req)
@@ -75,24 +63,6 @@
 	return hr, nil
 }
 
-// connectionFields returns the names that a Connection field declares as
-// hop-by-hop.
-func connectionFields(fields []core.Field) map[string]bool {
-	var names map[string]bool
-	for _, f := range fields {
-		if !strings.EqualFold(f.Name, "Connection") {
-			continue
-		}
-		for name := range strings.SplitSeq(f.Value, ",") {
-			if names == nil {
-				names = make(map[string]bool)
-			}
-			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return names
-}
-
 func setOwn(h http.Header, req *core.Request) {
 	set := func(name, value string) {
 		if value != "" {
@@ -130,19 +100,11 @@
 
 // decodeHeader copies the end-to-end fields of a response.
 func decodeHeader(h http.Header) []core.Field {
-	var raw []core.Field
-	for _, v := range h["Connection"] {
-		raw = append(raw, core.Field{Name: "Connection", Value: v})
-	}
-	dropped := connectionFields(raw)
-	fields := make([]core.Field, 0, len(h))
+	fields := make([]core.Field, 0, len(h)+4)
 	for name, values := range h {
-		if hopByHop[name] || dropped[name] {
-			continue
-		}
 		for _, v := range values {
 			fields = append(fields, core.Field{Name: name, Value: v})
 		}
 	}
-	return fields
+	return core.EndToEnd(fields)
 }
