--- /dev/null
+++ b/capacity/slopes/configuration.go
@@ -0,0 +1,68 @@
+package slopes
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"marjoramshore.example/capacity"
+	"marjoramshore.example/core"
+	"marjoramshore.example/intent"
+)
+
+// declared is a configuration of n services like today's, with six customers
+// each and a full history.
+func declared(n int) intent.Config {
+	c := intent.Config{Revision: 100_000, Writer: "3f2504e04f8941d39a0c0305e82c3301"}
+	for i := range n {
+		s := intent.Service{Name: core.Service("service-" + strconv.Itoa(i)), Region: "fi-south", Groups: 6, Slots: 17, Connections: 130, DrainShare: 0.2,
+			Objectives: []intent.Objective{
+				{Kind: "short", Availability: 0.9999, LatencyMs: 18, LatencyShare: 0.99},
+				{Kind: "long", Availability: 0.999, LatencyMs: 60_000, LatencyShare: 0.99},
+			}}
+		for j := range 6 {
+			s.Customers = append(s.Customers, intent.Customer{Name: core.Customer("customer-" + strconv.Itoa(j)), Weight: 1 + j})
+		}
+		c.Declaration.Services = append(c.Declaration.Services, s)
+	}
+	return c
+}
+
+// withHistory adds n accepted changes.
+func withHistory(c intent.Config, n int) intent.Config {
+	for i := range n {
+		c.History = append(c.History, intent.Entry{Revision: core.Revision(99_936 + i), Plan: "p-0123456789abcdef", By: "operator@example",
+			AtMs: 1_790_000_000_000, Cause: "drain before maintenance", Changes: []intent.Change{{}}})
+	}
+	return c
+}
+
+// configurations measures the configuration object, which a member pulls whole
+// for each new revision.
+func configurations() ([]capacity.Slope, error) {
+	size := func(c intent.Config) (float64, error) {
+		b, err := json.Marshal(c)
+		if err != nil {
+			return 0, core.Wrap(core.CodeInternal, err, "configuration: encode")
+		}
+		return float64(len(b)), nil
+	}
+	services, err := over(capacity.Slope{Name: "config-bytes", Unit: "bytes", Per: "service", Counted: true}, []int{4, 20, 60},
+		func(n int) (float64, error) { return size(declared(n)) })
+	if err != nil {
+		return nil, err
+	}
+	history, err := over(capacity.Slope{Name: "config-history-bytes", Unit: "bytes", Per: "change in the history", Counted: true}, []int{4, 16, 64},
+		func(n int) (float64, error) { return size(withHistory(intent.Config{}, n)) })
+	if err != nil {
+		return nil, err
+	}
+	memory, err := over(capacity.Slope{Name: "config-memory", Unit: "bytes", Per: "service"}, []int{4, 20, 60},
+		func(n int) (float64, error) {
+			b, err := json.Marshal(withHistory(declared(n), 64))
+			return held(20, func() intent.Config {
+				c, _ := intent.DecodeConfig(b)
+				return c
+			}), err
+		})
+	return []capacity.Slope{services, history, memory}, err
+}
