--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -43,6 +43,8 @@
 	// WatchWait is the time in seconds after which a waiting watch is renewed;
 	// it is the default of storehttp.
 	WatchWait float64
+	// Link is what one node's network carries, in bytes a second.
+	Link float64
 }
 
 // Expected returns the size of section 1.3 of the design.
@@ -64,7 +66,7 @@
 func Assumed() Assumptions {
 	return Assumptions{
 		GroupSize: 10, Ranges: 64, Services: 60, NonIdempotent: 0.1, Window: 600,
-		HotPeriod: 180, Peak: 10, StatusInterval: 60, WatchWait: 55,
+		HotPeriod: 180, Peak: 10, StatusInterval: 60, WatchWait: 55, Link: 125e6,
 	}
 }
 
--- a/capacity/hours.go
+++ b/capacity/hours.go
@@ -30,7 +30,7 @@
 	return m.judgeStore(StoreRow{
 		Situation: situation, Carrier: "configsync (360 waiting watches), ownership (writes only changes)",
 		Writes: changes + restarts*m.at("restart-writes", 1) + failures*m.at("loss-writes", 1) + m.moves()*m.at("move-writes", 1),
-		Reads:  m.waiting() + renewed + changes + restarts*m.at("restart-reads", 1) + m.moves()*m.at("move-reads", 1),
+		Reads:  m.waiting() + renewed + changes + restarts*(m.at("restart-reads", 1)+m.regionGroups()) + m.moves()*m.at("move-reads", 1),
 	})
 }
 
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -27,13 +27,18 @@
 	if err != nil {
 		return "", err
 	}
+	outageRows, err := m.OutageRows()
+	if err != nil {
+		return "", err
+	}
 	parts := []string{
 		Begin,
 		fmt.Sprintf("Slopes recorded on %s with %s on %d cores.", r.Date, r.Machine.Go, r.Machine.Cores),
 		"### Fleet and assumptions", m.fleetTable(),
 		"### Roles of a process", rowTable(rows),
 		"### Load on the store", storeTable(storeRows),
-		"### What does not fit, is not built or not measured", exceptions(rows, storeRows),
+		"### Keys without service while the store is out for an hour", outageTable(outageRows),
+		"### What does not fit, is not built or not measured", exceptions(rows, storeRows, outageRows),
 		"### Slopes", SlopeTable(r.Slopes),
 		End,
 	}
@@ -66,6 +71,7 @@
 		{"share of requests with an at-most-once record", plain(a.NonIdempotent), "assumed"},
 		{"time in which the 69 hottest keys change once", plain(a.HotPeriod) + " s", "assumed for \"within minutes\""},
 		{"busiest hour of configuration changes over the mean", plain(a.Peak), "assumed"},
+		{"network of a node", Size(a.Link) + " a second", "assumed"},
 		{"time between two reports asked of one node", plain(a.StatusInterval) + " s", "assumed"},
 	})
 }
@@ -85,9 +91,15 @@
 	return fmt.Sprintf("%.1f", f)
 }
 
+// longList is the number of slopes from which a row only refers to its parts.
+const longList = 10
+
 func names(list []string) string {
-	if len(list) == 0 {
+	switch {
+	case len(list) == 0:
 		return "–"
+	case len(list) >= longList:
+		return "those of its parts"
 	}
 	return "`" + strings.Join(list, "` `") + "`"
 }
@@ -114,17 +126,31 @@
 	return table("situation|carried by|writes a second|reads a second|slopes|extrapolation|result", lines)
 }
 
-func exceptions(rows []Row, storeRows []StoreRow) string {
-	var out []string
+func outageTable(rows []OutageRow) string {
+	var lines [][]string
 	for _, r := range rows {
-		if r.Verdict != Fits {
-			out = append(out, fmt.Sprintf("- **%s** (%s): %s.", r.Role, r.Verdict, r.Why))
+		lines = append(lines, []string{
+			r.Situation, r.Carrier, number(r.Events), number(r.Groups), number(r.Share*100) + "%", names(r.Slopes), factor(r.Factor), string(r.Verdict),
+		})
+	}
+	return table("situation|carried by|events in the hour|groups' worth of keys|share of all keys|slopes|extrapolation|result", lines)
+}
+
+func exceptions(rows []Row, storeRows []StoreRow, outageRows []OutageRow) string {
+	var out []string
+	add := func(name string, v Verdict, why string) {
+		if v != Fits {
+			out = append(out, fmt.Sprintf("- **%s** (%s): %s.", name, v, why))
 		}
 	}
+	for _, r := range rows {
+		add(r.Role, r.Verdict, r.Why)
+	}
 	for _, r := range storeRows {
-		if r.Verdict != Fits {
-			out = append(out, fmt.Sprintf("- **%s** (%s): %s.", r.Situation, r.Verdict, r.Why))
-		}
+		add(r.Situation, r.Verdict, r.Why)
+	}
+	for _, r := range outageRows {
+		add(r.Situation, r.Verdict, r.Why)
 	}
 	return strings.Join(out, "\n")
 }
--- a/capacity/process.go
+++ b/capacity/process.go
@@ -42,15 +42,15 @@
 // the export to the import.
 func (m *Model) handOverRow() Row {
 	m.begin()
-	perNode := float64(m.Assumptions.Ranges) / float64(m.Assumptions.GroupSize)
-	records := m.records() / perNode
-	took := m.at("hand-over-time", records)
-	most := m.atMost("hand-over-time", pause)
+	records := m.records() * float64(m.Assumptions.GroupSize) / float64(m.Assumptions.Ranges)
+	size := m.at("hand-over-bytes", records)
+	work, wire := m.at("hand-over-time", records), size/m.Assumptions.Link
 	return m.judge(Row{
-		Role: fmt.Sprintf("hand-over of one range (%.0f thousand records)", records/1e3), Carrier: "node (hand-over call), groupwire, once: all records while the range waits; the copy ahead (once.ExportSince) is not called",
-		State: m.at("hand-over-bytes", records), Memory: m.at("hand-over-bytes", records),
-	}, when(took > pause, fmt.Sprintf("%.0f ms of processor time alone exceeds %.0f ms; at most %.0f thousand records fit", took*1e3, pause*1e3, most/1e3)),
-		when(m.at("hand-over-bytes", records) > callBound, fmt.Sprintf("%s exceeds the bound of %s on one control message", Size(m.at("hand-over-bytes", records)), Size(callBound))))
+		Role:    fmt.Sprintf("hand-over of one range (%.0f thousand records)", records/1e3),
+		Carrier: "node (hand-over call), groupwire, once: all records while the range waits; the copy ahead (once.ExportSince) is not called",
+		State:   size, Memory: size,
+	}, when(work+wire > pause, fmt.Sprintf("%.0f ms of processor time and %.0f ms on the wire exceed %.0f ms", work*1e3, wire*1e3, pause*1e3)),
+		when(size > callBound, fmt.Sprintf("%s exceeds the %s that transport receives in one message, so the call is refused and the range does not move; at most %.1f thousand records fit in one", Size(size), Size(callBound), m.atMost("hand-over-bytes", callBound)/1e3)))
 }
 
 // atMost returns the size at which a slope reaches a value.
@@ -125,38 +125,34 @@
 	return out
 }
 
-// wholeRows sums the roles of one process.
-func (m *Model) wholeRows() []Row {
-	region, all := m.regionGroups(), m.groups()
-	peers := float64(m.Fleet.Nodes)/float64(m.Fleet.Regions) - 1
-	whole := func(role, name string, groups, copies float64) Row {
-		m.begin()
-		sum := m.groupRole(role, name, "sum of the group role, entrance, owner's side, configuration and connections")
-		for _, r := range []Row{m.entrance("", groups), m.owner(), m.config("", "", copies, m.changes()), {Memory: m.at("connection-memory", peers)}} {
-			sum.State, sum.Memory, sum.CPU = sum.State+r.State, sum.Memory+r.Memory, sum.CPU+r.CPU
-			sum.Messages, sum.Bytes = sum.Messages+r.Messages, sum.Bytes+r.Bytes
-		}
-		return m.judge(sum)
+// sum adds up roles that share a process.
+func sum(role, carrier string, rows ...Row) Row {
+	out := Row{Role: role, Carrier: carrier}
+	for _, r := range rows {
+		out.State, out.Memory, out.CPU = out.State+r.State, out.Memory+r.Memory, out.CPU+r.CPU
+		out.Messages, out.Bytes = out.Messages+r.Messages, out.Bytes+r.Bytes
 	}
-	return []Row{
-		whole("whole process: member, tables of its region", "member", region, 1),
-		whole("whole process: coordinator, tables of its region", "coordinator", region, float64(m.Assumptions.GroupSize)),
-		whole("whole process: coordinator, tables of every group", "coordinator", all, float64(m.Assumptions.GroupSize)),
+	return out
+}
+
+// pairRows are a coordinator's lease messages and its entrance's tables alone.
+func (m *Model) pairRows() []Row {
+	pair := func(name string, groups float64) Row {
+		m.begin()
+		return m.judge(sum("coordinator and entrance, tables of "+name, "sum of the two roles",
+			m.groupRole("", "coordinator", ""), m.entrance("", groups)))
 	}
+	return []Row{pair("its region", m.regionGroups()), pair("every group", m.groups())}
 }
 
-// pendingRows are the roles whose modules have no code yet. Each names the
-// slopes that its calculation needs.
-func (m *Model) pendingRows() []Row {
-	var out []Row
-	for _, x := range [][3]string{
-		{"load reporter", "placement", "placement-report-bytes"},
-		{"placement planner", "placement", "placement-plan-time, placement-memory"},
-		{"journal", "journal", "journal-memory"},
-		{"burn reporter", "burn", "burn-memory"},
-	} {
+// wholeRows sums the roles of one process.
+func (m *Model) wholeRows() []Row {
+	peers := float64(m.Fleet.Nodes)/float64(m.Fleet.Regions) - 1
+	whole := func(name string, copies float64) Row {
 		m.begin()
-		out = append(out, m.judge(Row{Role: x[0], Carrier: x[1], Verdict: NotMeasured, Why: "the module has no code in the measured tree; awaits " + x[2]}))
+		return m.judge(sum("whole process: "+name+", tables of its region", "sum of group role, entrance, owner's side, configuration and connections",
+			m.groupRole("", name, ""), m.entrance("", m.regionGroups()), m.owner(),
+			m.config("", "", copies, m.changes()), Row{Memory: m.at("connection-memory", peers)}))
 	}
-	return out
+	return []Row{whole("member", 1), whole("successor", 1), whole("coordinator", float64(m.Assumptions.GroupSize))}
 }
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -28,11 +28,9 @@
 // Rows returns the cost of each role of a process.
 func (m *Model) Rows() ([]Row, error) {
 	var out []Row
-	for _, list := range []func() []Row{m.groupRows, m.tableRows, m.ownerRows, m.configRows, m.operatorRows} {
+	for _, list := range []func() []Row{m.groupRows, m.tableRows, m.ownerRows, m.configRows, m.operatorRows, m.pairRows, m.wholeRows, m.pendingRows} {
 		out = append(out, list()...)
 	}
-	out = append(out, m.wholeRows()...)
-	out = append(out, m.pendingRows()...)
 	if len(m.missing) > 0 {
 		return nil, &MissingError{m.missing}
 	}
@@ -88,11 +86,16 @@
 	return m.at("call-bytes", m.at("table-bytes", float64(m.Assumptions.Ranges)))
 }
 
-// entrance is the cost of an entrance that holds the tables of some groups.
-// A planned move makes each holder fetch the whole table of the group.
+// tableChanges returns the new versions of tables a second in the whole fleet.
+func (m *Model) tableChanges() float64 {
+	return m.moves() + m.Fleet.Restarts/day*m.at("restart-writes", 1) + m.Fleet.Failures/day*m.at("loss-writes", 1)
+}
+
+// entrance is the cost of an entrance that holds the tables of some groups. At
+// most, it fetches each of them whole after each change.
 func (m *Model) entrance(role string, groups float64) Row {
 	ranges := float64(m.Assumptions.Ranges)
-	fetches := m.moves() * groups / m.groups()
+	fetches := m.tableChanges() * groups / m.groups()
 	learn := m.at("table-learn-time", ranges) + m.at("view-publish-time", groups)
 	return Row{
 		Role: role, Carrier: "entrance, routing: tables by group, fetched on first use and after not-owner",
@@ -108,14 +111,14 @@
 	out := []Row{m.judge(m.entrance(fmt.Sprintf("entrance, tables of its region (%.0f groups)", region), region))}
 	m.begin()
 	out = append(out, m.judge(m.entrance(fmt.Sprintf("entrance, tables of every group (%.0f)", all), all)))
-	return append(out, m.firstMinute(region), m.unowned(region), m.tableServer("spread evenly over all groups", all), m.tableServer("of one service", m.serviceGroups()))
+	return append(out, m.firstMinute("its region", region), m.firstMinute("every group", all), m.unowned(region), m.tableServer("spread evenly over all groups", all), m.tableServer("of one service", m.serviceGroups()))
 }
 
-// firstMinute is an entrance that has just started and meets every group of
-// its region. The first table of a group is read from the store.
-func (m *Model) firstMinute(groups float64) Row {
+// firstMinute is an entrance that has just started and meets all groups within
+// a minute. The first table of a group is read from the store.
+func (m *Model) firstMinute(which string, groups float64) Row {
 	m.begin()
-	r := m.entrance("entrance, first minute after a restart", groups)
+	r := m.entrance("entrance, first minute after a restart, tables of "+which, groups)
 	r.Carrier = "entrance, store: the first table of a group is its record in the store"
 	r.Messages, r.Bytes = 2*groups/60, groups*m.fetchBytes()/60
 	wait := max(0, groups-ordinaryBurst) / ordinaryRate
--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -41,8 +41,16 @@
 	return s
 }
 
-// At returns the cost at a size, never below zero.
-func (s Slope) At(size float64) float64 { return max(0, s.Intercept+s.Slope*size) }
+// At returns the cost at a size: the measured one if that size was measured,
+// and else that of the line, but never less than zero.
+func (s Slope) At(size float64) float64 {
+	for _, p := range s.Points {
+		if p.Size == size {
+			return p.Value
+		}
+	}
+	return max(0, s.Intercept+s.Slope*size)
+}
 
 // Factor returns how far a size lies beyond the largest that was measured; 1
 // means that it was measured.
--- a/capacity/slopes/calls.go
+++ b/capacity/slopes/calls.go
@@ -15,9 +15,9 @@
 const (
 	// measured is the number of calls over which bytes are averaged.
 	measured = 200
-	// tcpOverhead is the IPv4 and TCP headers of the four segments that a call
-	// needs at least: request, answer, and an acknowledgement of each.
-	tcpOverhead = 4 * 52
+	// segment is the payload of a TCP segment on Ethernet, and headers are the
+	// IPv4 and TCP headers of one segment. Each is acknowledged.
+	segment, headers = 1448, 52
 	// callsTimeout bounds the whole measurement.
 	callsTimeout = 10 * time.Second
 )
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	defer server.Close()
-	s, err := over(capacity.Slope{Name: "call-bytes", Unit: "bytes", Per: "byte of payload sent and returned"}, []int{0, 256, 4096},
+	s, err := over(capacity.Slope{Name: "call-bytes", Unit: "bytes", Per: "byte of payload sent and returned"}, []int{0, 256, 4096, 65536},
 		func(n int) (float64, error) { return callBytes(auth, server.Addr(), n) })
 	return []capacity.Slope{s}, err
 }
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	defer server.Close()
-	s, err := over(capacity.Slope{Name: "connection-memory", Unit: "bytes", Per: "peer"}, []int{8, 32, 128},
+	s, err := over(capacity.Slope{Name: "connection-memory", Unit: "bytes", Per: "peer"}, []int{32, 128, 384},
 		func(n int) (float64, error) { return connected(auth, server.Addr(), n) })
 	return []capacity.Slope{s}, err
 }
@@ -156,5 +156,5 @@
 			return 0, err
 		}
 	}
-	return float64(r.bytes.Load()-start)/measured + tcpOverhead, nil
+	return float64(r.bytes.Load()-start)/measured + float64(4*headers*max(1, (len(body)+segment-1)/segment)), nil
 }
--- a/capacity/slopes/measure.go
+++ b/capacity/slopes/measure.go
@@ -56,16 +56,13 @@
 // source measures some slopes.
 type source func() ([]capacity.Slope, error)
 
-// sources lists everything that is measured in this tree.
+// sources lists everything that is measured in this tree. The slopes of roles
+// in capacity.Pending get a source in a file of their own once their modules
+// have code.
 func sources() []source {
-	return []source{steadyGroups, allStoreCalls, tables, onceRecords, admissionCosts, suspects, configurations, calls, connections}
+	return []source{steadyGroups, allStoreCalls, outages, tables, onceRecords, admissionCosts, suspects, configurations, calls, connections}
 }
 
-// Pending names the slopes of modules that had no code when this was written.
-// Give each a source in a file of its own and remove it here; the rows of the
-// page that need it then follow by themselves.
-var Pending = []string{"placement-report-bytes", "placement-plan-time", "placement-memory", "journal-memory", "burn-memory"}
-
 // Measure runs every measurement. It takes some seconds and uses loopback
 // addresses only.
 func Measure() (*capacity.Record, error) {
--- a/capacity/slopes/owner.go
+++ b/capacity/slopes/owner.go
@@ -31,7 +31,7 @@
 // onceRecords measures at-most-once records: their memory, and the size and
 // processor time of a hand-over from export to import.
 func onceRecords() ([]capacity.Slope, error) {
-	memory, err := over(capacity.Slope{Name: "record-memory", Unit: "bytes", Per: "record"}, []int{10_000, 40_000, 160_000},
+	memory, err := over(capacity.Slope{Name: "record-memory", Unit: "bytes", Per: "record"}, []int{15_000, 60_000, 240_000},
 		func(n int) (float64, error) {
 			used := held(3, func() *once.Table { return filled(n) })
 			s := filled(n).Stats()
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	size := capacity.Slope{Name: "hand-over-bytes", Unit: "bytes", Per: "record", Counted: true}
-	took, err := over(capacity.Slope{Name: "hand-over-time", Unit: "seconds", Per: "record"}, []int{1000, 8000, 32_000},
+	took, err := over(capacity.Slope{Name: "hand-over-time", Unit: "seconds", Per: "record"}, []int{1000, 8000, 40_000},
 		func(n int) (float64, error) {
 			from := once.New(once.Config{})
 			from.Create(core.FullRange)
