--- a/capacity/slopes/calls.go
+++ b/capacity/slopes/calls.go
@@ -19,7 +19,7 @@
 	// IPv4 and TCP headers of one segment. Each is acknowledged.
 	segment, headers = 1448, 52
 	// callsTimeout bounds the whole measurement.
-	callsTimeout = 10 * time.Second
+	callsTimeout = 30 * time.Second
 )
 
 // relay forwards one connection to a server and counts its bytes.
--- a/capacity/slopes/outage.go
+++ b/capacity/slopes/outage.go
@@ -50,8 +50,8 @@
 	return code == 0
 }
 
-// inOutage returns the share of a group's keys that is not served a minute
-// after something happened to one process with a role while the store was out.
+// inOutage returns the share of a group's keys that stays without
+// service after something happened to one process while the store was out.
 func inOutage(size int, role string, happen func(*group, *process)) (float64, error) {
 	g, err := settled(size)
 	if err != nil {
@@ -65,7 +65,7 @@
 			break
 		}
 	}
-	g.run(time.Minute)
+	g.run(settle)
 	return g.unserved(), g.err
 }
 
--- a/capacity/slopes/owner.go
+++ b/capacity/slopes/owner.go
@@ -33,9 +33,12 @@
 func onceRecords() ([]capacity.Slope, error) {
 	memory, err := over(capacity.Slope{Name: "record-memory", Unit: "bytes", Per: "record"}, []int{15_000, 60_000, 240_000},
 		func(n int) (float64, error) {
-			used := held(3, func() *once.Table { return filled(n) })
-			s := filled(n).Stats()
-			return used * float64(n) / float64(s.Capacity), nil
+			var t *once.Table
+			used := held(1, func() *once.Table {
+				t = filled(n)
+				return t
+			})
+			return used * float64(n) / float64(t.Stats().Capacity), nil
 		})
 	if err != nil {
 		return nil, err
--- a/capacity/slopes/steady.go
+++ b/capacity/slopes/steady.go
@@ -12,7 +12,7 @@
 
 const (
 	// settle is the time after which a group of any size is in steady state.
-	settle = 30 * time.Second
+	settle = 20 * time.Second
 	// steady is the virtual time over which steady costs are averaged.
 	steady = 60 * time.Second
 )
--- a/capacity/slopes/tables.go
+++ b/capacity/slopes/tables.go
@@ -107,7 +107,7 @@
 
 func tableMemory(ranges int) (float64, error) {
 	_, _, err := decoded(0, core.FullRange, ranges)
-	return held(200, func() *core.Table {
+	return held(50, func() *core.Table {
 		t, _, _ := decoded(0, core.FullRange, ranges)
 		return t
 	}), err
@@ -115,7 +115,7 @@
 
 func learnTime(ranges int) (float64, error) {
 	_, b, err := decoded(0, core.FullRange, ranges)
-	return timed(200, func() {
+	return timed(50, func() {
 		if t, err := groupwire.DecodeTable(b); err == nil {
 			_, _, _ = (*routing.View)(nil).WithTable(t)
 		}
@@ -124,7 +124,7 @@
 
 func viewMemory(groups int) (float64, error) {
 	_, err := view(groups, 64)
-	return held(3, func() *routing.View {
+	return held(1, func() *routing.View {
 		v, _ := view(groups, 64)
 		return v
 	}), err
@@ -147,7 +147,7 @@
 			return s, err
 		}
 		h := core.Hash(1)
-		took := timed(200_000, func() {
+		took := timed(50_000, func() {
 			h = h*6364136223846793005 + 1442695040888963407
 			v.Owner(service, h)
 		})
