Judge the loss of a rack or data centre by its busiest second

An average over five seconds hid that most writes after a loss fall into one second. A lost rack is a row of its own now.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -18,7 +18,7 @@
 	"record-memory": {0, 40}, "hand-over-bytes": {0, 50}, "hand-over-time": {0, 1e-6},
 	"admission-time": {1e-6, 0}, "admission-customer-time": {0, 0}, "admission-memory": {0, 100}, "suspect-memory": {0, 200},
 	"config-bytes": {1000, 0}, "config-history-bytes": {0, 0}, "config-memory": {0, 0}, "connection-memory": {0, 50_000},
-	"create-writes": {22, 0}, "create-reads": {19, 0}, "loss-writes": {5, 0}, "loss-reads": {1, 0}, "restart-writes": {9, 0},
+	"create-writes": {22, 0}, "create-reads": {19, 0}, "loss-writes": {5, 0}, "loss-reads": {1, 0}, "loss-peak-writes": {3, 0}, "restart-writes": {9, 0},
 	"restart-reads": {5, 0}, "move-writes": {1, 0}, "move-reads": {1, 0}, "outage-minute-writes": {0, 0}, "outage-minute-reads": {0, 0},
 	"outage-unserved-lost-member": {0, 0}, "outage-unserved-lost-successor": {1, 0}, "outage-unserved-lost-coordinator": {0.1, 0},
 	"outage-unserved-stopped-member": {0, 0}, "outage-unserved-stopped-successor": {1, 0}, "outage-unserved-stopped-coordinator": {0.1, 0},
@@ -129,9 +129,10 @@
 
 // Guards against wrong loads on the store in the bad hours.
 func TestStoreRows(t *testing.T) {
-	lost := storeRow(t, "data centre lost (200 nodes, 60 groups, at most 300 writes")
-	must.Eq(t, 60, lost.Writes) // 60 groups * 5 writes in 5 s
-	must.Eq(t, 360+12, lost.Reads)
+	lost := storeRow(t, "data centre lost (200 nodes, 60 groups)")
+	must.Eq(t, 180, lost.Writes) // 60 groups * 3 writes in one second
+	must.Eq(t, 360+60, lost.Reads)
+	must.Eq(t, 60, storeRow(t, "rack or switch").Writes)
 	must.Eq(t, Fits, lost.Verdict)
 	mass := storeRow(t, "mass restart of all nodes")
 	must.Eq(t, 1584, mass.Writes) // 360 groups * 22 writes in 5 s
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -43,6 +43,8 @@
 	// WatchWait is the time in seconds after which a waiting watch is renewed;
 	// it is the default of storehttp.
 	WatchWait float64
+	// Rack is the number of nodes that a rack or switch holds.
+	Rack float64
 	// Link is what one node's network carries, in bytes a second.
 	Link float64
 }
@@ -66,7 +68,7 @@
 func Assumed() Assumptions {
 	return Assumptions{
 		GroupSize: 10, Ranges: 64, Services: 60, NonIdempotent: 0.1, Window: 600,
-		HotPeriod: 180, Peak: 10, StatusInterval: 60, WatchWait: 55, Link: 125e6,
+		HotPeriod: 180, Peak: 10, StatusInterval: 60, WatchWait: 55, Rack: 20, Link: 125e6,
 	}
 }
 
--- a/capacity/hours.go
+++ b/capacity/hours.go
@@ -7,7 +7,7 @@
 func (m *Model) StoreRows() ([]StoreRow, error) {
 	out := []StoreRow{
 		m.ordinary("ordinary day", 1), m.ordinary("busiest hour of configuration changes", m.Assumptions.Peak),
-		m.hottest(), m.restarts(), m.dataCentre(), m.dataCentreTables(), m.massRestart(), m.massTables(), m.outage(), m.afterOutage(),
+		m.hottest(), m.restarts(), m.rack(), m.dataCentre(), m.dataCentreTables(), m.massRestart(), m.massTables(), m.outage(), m.afterOutage(),
 		m.regionsCut(), m.budgets(),
 	}
 	if len(m.missing) > 0 {
@@ -56,18 +56,29 @@
 	})
 }
 
+// loss is a loss that hits some groups at once. The rate is that of the busiest
+// second, as if it were the same for all groups, and as if each group had lost
+// its coordinator.
+func (m *Model) loss(situation string, groups, lost float64) StoreRow {
+	m.begin()
+	return m.judgeStore(StoreRow{
+		Situation: situation, Carrier: "ownership: takeover, successors and assignment, in the busiest second",
+		Writes: groups * m.at("loss-peak-writes", lost), Reads: m.waiting() + groups*m.at("loss-reads", lost),
+	})
+}
+
+// rack is the loss of a rack or switch, whose nodes are of different groups.
+func (m *Model) rack() StoreRow {
+	nodes := m.Assumptions.Rack
+	return m.loss(fmt.Sprintf("rack or switch lost (%.0f nodes of as many groups)", nodes), nodes, 1)
+}
+
 // dataCentre is the loss of one data centre: every group of its region loses a
-// third of its members, and the coordinator in some.
+// third of its members.
 func (m *Model) dataCentre() StoreRow {
-	m.begin()
 	lost := float64(m.Assumptions.GroupSize) * float64(m.Fleet.Regions) / float64(m.Fleet.DataCentres)
 	groups := m.regionGroups()
-	total := groups * m.at("loss-writes", lost)
-	return m.judgeStore(StoreRow{
-		Situation: fmt.Sprintf("data centre lost (%d nodes, %.0f groups, at most %.0f writes within 5 s)", m.Fleet.Nodes/m.Fleet.DataCentres, groups, total),
-		Carrier:   "ownership: takeover, successors and assignment, counted as if each group had lost its coordinator",
-		Writes:    total / m.Fleet.Recovery, Reads: m.waiting() + groups*m.at("loss-reads", lost)/m.Fleet.Recovery,
-	})
+	return m.loss(fmt.Sprintf("data centre lost (%d nodes, %.0f groups)", m.Fleet.Nodes/m.Fleet.DataCentres, groups), groups, lost)
 }
 
 // dataCentreTables adds the reads of entrances that find no member to ask: a
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -71,6 +71,7 @@
 		{"share of requests with an at-most-once record", plain(a.NonIdempotent), "assumed"},
 		{"time in which the 69 hottest keys change once", plain(a.HotPeriod) + " s", "assumed for \"within minutes\""},
 		{"busiest hour of configuration changes over the mean", plain(a.Peak), "assumed"},
+		{"nodes behind one rack or switch", plain(a.Rack), "assumed"},
 		{"network of a node", Size(a.Link) + " a second", "assumed"},
 		{"time between two reports asked of one node", plain(a.StatusInterval) + " s", "assumed"},
 	})
--- a/capacity/slopes/group.go
+++ b/capacity/slopes/group.go
@@ -71,13 +71,15 @@
 	storeDown bool
 	// reads and writes count store calls.
 	reads, writes int
-	err           error
+	// bySecond counts writes by the second of virtual time.
+	bySecond map[int64]int
+	err      error
 }
 
 // newGroup starts size nodes, one after another, spread over the three data
 // centres of a region.
 func newGroup(size int, apart time.Duration) *group {
-	g := &group{id: core.GroupID{Service: "hintapalvelu", Number: 300}, now: clock.Instant(time.Hour)}
+	g := &group{id: core.GroupID{Service: "hintapalvelu", Number: 300}, now: clock.Instant(time.Hour), bySecond: map[int64]int{}}
 	for i := range size {
 		p := &process{self: core.Member{
 			Node: core.NodeID("hinta-" + strconv.Itoa(3000+i)), DataCentre: core.DataCentre("fi-south-" + strconv.Itoa(i%3)),
@@ -160,6 +162,7 @@
 		g.feed(p, run, call, func() ownership.Input { return g.read(e.ID) })
 	case ownership.PutGroup:
 		g.writes++
+		g.bySecond[int64(g.now)/int64(time.Second)]++
 		g.feed(p, run, call, func() ownership.Input { return g.write(e) })
 	case ownership.HandOver:
 		g.feed(p, run, hop, func() ownership.Input { return ownership.HandedOver{Move: e.Move} })
@@ -236,7 +239,7 @@
 
 // reset sets all counts to zero.
 func (g *group) reset() {
-	g.reads, g.writes = 0, 0
+	g.reads, g.writes, g.bySecond = 0, 0, map[int64]int{}
 	for _, p := range g.processes {
 		p.cost = cost{}
 	}
--- a/capacity/slopes/steady.go
+++ b/capacity/slopes/steady.go
@@ -113,6 +113,7 @@
 func storeCalls(name, per string, sizes []int, do func(size int) (*group, error)) ([]capacity.Slope, error) {
 	writes := capacity.Slope{Name: name + "-writes", Unit: "store writes", Per: per, Counted: true}
 	reads := capacity.Slope{Name: name + "-reads", Unit: "store reads", Per: per, Counted: true}
+	peak := capacity.Slope{Name: name + "-peak-writes", Unit: "store writes in the busiest second", Per: per, Counted: true}
 	for _, size := range sizes {
 		g, err := do(size)
 		if err == nil {
@@ -123,8 +124,17 @@
 		}
 		writes.Points = append(writes.Points, capacity.Point{Size: float64(size), Value: float64(g.writes)})
 		reads.Points = append(reads.Points, capacity.Point{Size: float64(size), Value: float64(g.reads)})
+		peak.Points = append(peak.Points, capacity.Point{Size: float64(size), Value: float64(g.busiest())})
 	}
-	return []capacity.Slope{writes, reads}, nil
+	return []capacity.Slope{writes, reads, peak}, nil
+}
+
+// busiest returns the writes of the busiest second.
+func (g *group) busiest() (most int) {
+	for _, n := range g.bySecond {
+		most = max(most, n)
+	}
+	return most
 }
 
 // create starts a whole group at once with an empty store.
