Recover from a coordinator that can send but not receive

Its successors kept promising and members kept waiting: keys stayed without service for 15 s and more. Promise requests are repeated within the heartbeat, a successor stops promising when its answers do not arrive, and a former coordinator gets ranges only after it has confirmed an answer.

--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -216,9 +216,9 @@
 	if r.Term < c.term {
 		return n.answer(r, RefusedClaimNeeded)
 	}
+	i.confirm(r)
 	i.lastHeard = n.now
 	i.behind = r.Revision < n.revision
-	i.confirm(r)
 	i.sent[r.Seq%uint64(len(i.sent))] = sentRenewal{seq: r.Seq, at: n.now}
 	switch {
 	case i.behind:
@@ -241,7 +241,7 @@
 // confirm notes which answers have reached the member. Without this, a member
 // that can send but not receive would keep its ranges and serve none of them.
 func (i *info) confirm(r *Renew) {
-	if r.Answered <= i.answered && i.answered > 0 {
+	if r.Answered <= i.answered && i.lastHeard > 0 {
 		i.stalled++
 		return
 	}
--- a/ownership/fakestore_test.go
+++ b/ownership/fakestore_test.go
@@ -25,7 +25,8 @@
 	mode    storeMode
 	version uint64
 	value   []byte
-	history [][]byte
+	// history holds every record; records are immutable once submitted.
+	history []*GroupRecord
 	// calls counts reads and writes.
 	gets, puts int
 	lastTable  core.Token
@@ -58,7 +59,7 @@
 			version -= uint64(f.s.rng.Int64N(min(3, int64(version)))) // stale
 		}
 		if version > 0 {
-			r = StoreRead{Status: ReadFound, Record: decode(f.history[version-1]), Version: version}
+			r = StoreRead{Status: ReadFound, Record: f.history[version-1], Version: version}
 		}
 		f.s.after(d/2, func() { done(r) })
 	})
@@ -109,7 +110,7 @@
 	f.version++
 	f.s.logf("APPLIED v%d term %d by %s succ %v pend %v table %v", f.version, rec.Term, rec.Writer.Node, rec.Successors, rec.Pending.Node, rec.Table.Version)
 	f.value = value
-	f.history = append(f.history, value)
+	f.history = append(f.history, rec)
 	return PutOK
 }
 
--- a/ownership/promises.go
+++ b/ownership/promises.go
@@ -24,7 +24,8 @@
 	until, reassignUntil clock.Instant
 	granted              clock.Instant
 	answeredAt           clock.Instant
-	answered             uint64
+	answered, lastSeq    uint64
+	retries              int
 	asked                clock.Instant
 	refusedTakeover      clock.Instant
 	acked                uint64
@@ -63,6 +64,7 @@
 	c := n.c
 	if n.now < c.nextPromise {
 		n.wakeAt(c.nextPromise)
+		n.retryPromises()
 		return
 	}
 	c.nextPromise = n.now.Add(n.t.Heartbeat)
@@ -77,8 +79,29 @@
 		if blocked && n.now >= p.refusedTakeover.Add(2*n.t.Heartbeat) {
 			continue // authority cannot be had; let the others act
 		}
+		p.retries = 0
 		n.askPromise(p)
 	}
+	n.retryPromises()
+}
+
+// retryPromises repeats requests that were not answered within a quarter of a
+// heartbeat, twice at most. It makes up for one lost datagram, and shows a
+// successor early that its answers do not arrive.
+func (n *Node) retryPromises() {
+	for _, r := range n.rec.Successors {
+		p := n.c.promise(r)
+		if p.answered >= p.lastSeq || p.retries >= 2 {
+			continue
+		}
+		at := p.asked.Add(n.t.Heartbeat / 4)
+		if n.now >= at {
+			p.retries++
+			n.askPromise(p)
+			at = n.now.Add(n.t.Heartbeat / 4)
+		}
+		n.wakeAt(at)
+	}
 }
 
 // forgetPromises drops entries that no record or pair needs.
@@ -103,7 +126,7 @@
 	}
 	c.promiseSeq++
 	p.sent[c.promiseSeq%uint64(len(p.sent))] = sentRenewal{seq: c.promiseSeq, at: n.now}
-	p.asked = n.now
+	p.asked, p.lastSeq = n.now, c.promiseSeq
 	req := &PromiseRequest{
 		Group: n.cfg.Group, From: n.self, To: p.run, Term: c.term, Seq: c.promiseSeq,
 		Version: n.version, Answered: p.answered, Revision: n.revision, Active: n.isActive(p.run),
--- a/ownership/scenario_test.go
+++ b/ownership/scenario_test.go
@@ -126,6 +126,12 @@
 		{"member cut off one way, outgoing", func(s *sim) []*simNode { return s.cutOff(s.ordinary(), true, false) }},
 		{"member cut off one way, incoming", func(s *sim) []*simNode { return s.cutOff(s.ordinary(), false, true) }},
 		{"coordinator cut off one way, outgoing", func(s *sim) []*simNode { return s.cutOff(s.coordinator(), true, false) }},
+		// The successors believe for two more heartbeats that their promises
+		// are of use, so other members' leases may run out before a takeover.
+		{"coordinator cut off one way, incoming", func(s *sim) []*simNode {
+			s.cutOff(s.coordinator(), false, true)
+			return s.nodes
+		}},
 		{"coordinator cut off from the members", func(s *sim) []*simNode { return s.cutOff(s.coordinator(), true, true) }},
 	}
 	for _, c := range cases {
--- a/ownership/successor.go
+++ b/ownership/successor.go
@@ -166,7 +166,7 @@
 // successors back although it has no authority.
 func (n *Node) unconfirmed(r *PromiseRequest) bool {
 	s := &n.s
-	if s.answeredTerm != r.Term || r.Answered > s.answered || r.Answered == 0 {
+	if s.answeredTerm != r.Term || r.Answered > s.answered {
 		s.answered, s.answeredTerm, s.stalled = r.Answered, r.Term, 0
 		return false
 	}
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -88,7 +88,7 @@
 	n.c = c
 	for _, m := range p.rec.Table.Members {
 		run := RunOf(m)
-		i := &info{run: run, member: m, inTable: true, proven: true, lastAnswer: lastLease}
+		i := &info{run: run, member: m, inTable: true, proven: run != former, lastAnswer: lastLease}
 		i.adopted = run == n.self || run == former
 		c.infos = append(c.infos, i)
 	}
