Let a coordinator that is behind its group's configuration lose its term

Its successors refused promises, but it kept the term alive through the store. It now stops refreshing; a successor with the newer revision takes over without a gap for the other members (TestRevisionBehind).

--- a/ownership/planned_test.go
+++ b/ownership/planned_test.go
@@ -184,8 +184,12 @@
 			s.toProcess(n, n.inc, SetRevision{Revision: 8})
 		}
 	}
-	s.run(servedAgain)
+	before := s.pointsOf(c, false)
+	last, _ := s.outage(before, servedAgain, 5*time.Millisecond)
+	must.Eq(t, 0, last)
 	must.Eq(t, "", s.fault)
+	must.True(t, s.coordinator() != c, must.Sprint("a coordinator that is behind must lose its term"))
+	must.Eq(t, 0, s.unserved())
 }
 
 // TestRecordEncoding guards against a record that does not survive its JSON
--- a/ownership/promises.go
+++ b/ownership/promises.go
@@ -28,6 +28,7 @@
 	retries              int
 	asked                clock.Instant
 	refusedTakeover      clock.Instant
+	refusedRevision      clock.Instant
 	acked                uint64
 	sent                 [8]sentRenewal
 	since                clock.Instant
@@ -173,6 +174,8 @@
 		}
 	case RefusedTakeover:
 		p.refusedTakeover = n.now
+	case RefusedRevision:
+		p.refusedRevision = n.now
 	}
 }
 
--- a/ownership/writes.go
+++ b/ownership/writes.go
@@ -155,7 +155,11 @@
 	c := n.c
 	var heard clock.Instant
 	for _, r := range n.rec.Successors {
-		heard = max(heard, c.promise(r).answeredAt)
+		p := c.promise(r)
+		heard = max(heard, p.answeredAt)
+		if p.refusedRevision > 0 && n.now < p.refusedRevision.Add(2*n.t.Heartbeat) {
+			return false // behind the group's configuration; another takes over
+		}
 	}
 	if len(n.rec.Successors) == 0 || n.now < heard.Add(n.t.Heartbeat*5/4) || c.alone {
 		return true
