--- a/ownership/assign.go
+++ b/ownership/assign.go
@@ -10,6 +10,9 @@
 // entries of 16 members stay below 30 KB in the store.
 const maxEntries = 256
 
+// compactAt is the number of entries above which neighbours are joined.
+const compactAt = 96
+
 // assign gives a range to a run; the zero Run leaves it without an owner.
 type assign struct {
 	rng core.Range
--- a/ownership/planned_test.go
+++ b/ownership/planned_test.go
@@ -159,6 +159,21 @@
 	}
 }
 
+// TestOrphan guards against a group that is lost for good together with its
+// coordinator and both successors, and against a takeover before authority that
+// rests on promises alone must have ended.
+func TestOrphan(t *testing.T) {
+	s := newSim(1, 6, 3, quickTiming(0))
+	s.startAll()
+	s.run(40 * time.Second)
+	s.lose(s.successor(0), s.successor(1), s.coordinator())
+	s.run(s.timing.Orphan - time.Second)
+	must.Positive(t, s.unserved())
+	s.run(15 * time.Second)
+	must.Eq(t, "", s.fault)
+	must.Eq(t, 0, s.unserved())
+}
+
 // TestRevisionBehind guards against a member that serves under an old
 // configuration, and against a coordinator that keeps such a group.
 func TestRevisionBehind(t *testing.T) {
--- a/ownership/random_test.go
+++ b/ownership/random_test.go
@@ -234,16 +234,17 @@
 	if testing.Short() {
 		seeds = 6
 	}
-	total := 0
+	total, longest := 0, 0
 	events := map[EventKind]int{}
 	for i, s := range runSeeds(seeds, steps, false) {
 		total += s.steps
+		longest = max(longest, len(s.store.history[len(s.store.history)-1].Table.Entries))
 		for k, v := range s.events {
 			events[k] += v
 		}
 		must.Eq(t, "", s.fault, must.Sprint(fmt.Sprintf("seed %d", i+1)))
 	}
-	t.Logf("seeds=%d steps=%d events=%v", seeds, total, events)
+	t.Logf("seeds=%d steps=%d longest final table=%d events=%v", seeds, total, longest, events)
 }
 
 // TestCheckFindsMissingLeaseWait proves the power of the check above: with the
--- a/ownership/writes.go
+++ b/ownership/writes.go
@@ -85,11 +85,38 @@
 	if len(list) == 0 && !c.membersChanged() {
 		return
 	}
+	if joined := n.compaction(table); len(joined) > 0 {
+		list = append(list, joined...)
+		table = apply(members, list, version)
+	}
 	c.wants = nil
 	c.seq++
 	c.draft = &draft{table: table, base: c.table.Version, list: list}
 }
 
+// compaction joins neighbouring ranges of one owner, under a new token, when the
+// table has grown long. Ranges that are being moved are left alone: a release
+// under the former token must stay valid for them.
+func (n *Node) compaction(t *core.Table) []assign {
+	if len(t.Entries) <= compactAt {
+		return nil
+	}
+	var out []assign
+	for i := 0; i < len(t.Entries); {
+		first := t.Entries[i]
+		j := i + 1
+		for j < len(t.Entries) && t.Entries[j].Owner == first.Owner && t.Entries[j-1].Range.Hi+1 == t.Entries[j].Range.Lo {
+			j++
+		}
+		r := core.Range{Lo: first.Range.Lo, Hi: t.Entries[j-1].Range.Hi}
+		if j-i > 1 && first.Owner != core.NoOwner && !n.busyRange(r) {
+			out = append(out, assign{rng: r, to: ownerOf(t, first)})
+		}
+		i = j
+	}
+	return out
+}
+
 // holes returns the ranges of t without an owner that nobody can hold.
 func (c *coordinator) holes(t *core.Table) []core.Range {
 	var out []core.Range
