--- a/capacity/slopes/calls.go
+++ b/capacity/slopes/calls.go
@@ -108,14 +108,16 @@
 // connected returns the memory in use with n connections, less that without.
 func connected(auth *transport.Authenticator, server string, n int) (float64, error) {
 	before := inUse()
-	client, err := transport.NewClient(transport.ClientConfig{Auth: auth, Lanes: n})
-	if err != nil {
-		return 0, err
-	}
-	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), callsTimeout)
 	defer cancel()
+	// A client opens further connections only under load, so that each
+	// connection of this measurement has a client of its own.
 	for range n {
+		client, err := transport.NewClient(transport.ClientConfig{Auth: auth})
+		if err != nil {
+			return 0, err
+		}
+		defer client.Close()
 		if _, err := client.Call(ctx, server, "echo", nil); err != nil {
 			return 0, err
 		}
--- a/groupwire/decode.go
+++ b/groupwire/decode.go
@@ -90,7 +90,7 @@
 
 func decodeRenew(g core.GroupID, from ownership.Run, r *pb.Renew) *ownership.Renew {
 	out := &ownership.Renew{Group: g, From: from, Term: r.GetTerm(), Seq: r.GetSeq(), Table: decodeToken(r.GetTable()),
-		Revision: core.Revision(r.GetRevision()), Draining: r.GetDraining(), Leaving: r.GetLeaving()}
+		Revision: core.Revision(r.GetRevision()), Draining: r.GetDraining(), Stopping: r.GetStopping(), Leaving: r.GetLeaving(), Answered: r.GetSeq() - r.GetUnanswered()}
 	if r.GetJoin() != nil {
 		m := decodeMember(r.Join)
 		out.Join = &m
@@ -121,7 +121,7 @@
 
 func decodePromiseRequest(g core.GroupID, from, to ownership.Run, r *pb.PromiseRequest) (ownership.Message, error) {
 	out := &ownership.PromiseRequest{Group: g, From: from, To: to, Term: r.GetTerm(), Seq: r.GetSeq(),
-		Version: r.GetVersion(), Revision: core.Revision(r.GetRevision()), Active: r.GetActive()}
+		Version: r.GetVersion(), Revision: core.Revision(r.GetRevision()), Active: r.GetActive(), Answered: r.GetSeq() - r.GetUnanswered()}
 	if len(r.GetRecord()) == 0 {
 		return out, nil
 	}
--- a/groupwire/encode.go
+++ b/groupwire/encode.go
@@ -104,7 +104,7 @@
 
 func encodeRenew(m *ownership.Renew) *pb.Envelope {
 	r := &pb.Renew{Term: m.Term, Seq: m.Seq, Table: encodeToken(m.Table), Revision: uint64(m.Revision),
-		Draining: m.Draining, Leaving: m.Leaving}
+		Draining: m.Draining, Stopping: m.Stopping, Leaving: m.Leaving, Unanswered: m.Seq - m.Answered}
 	if m.Join != nil {
 		r.Join = encodeMember(*m.Join)
 	}
@@ -132,7 +132,7 @@
 }
 
 func encodePromiseRequest(m *ownership.PromiseRequest) (*pb.Envelope, error) {
-	r := &pb.PromiseRequest{Term: m.Term, Seq: m.Seq, Version: m.Version, Revision: uint64(m.Revision), Active: m.Active}
+	r := &pb.PromiseRequest{Term: m.Term, Seq: m.Seq, Version: m.Version, Revision: uint64(m.Revision), Active: m.Active, Unanswered: m.Seq - m.Answered}
 	if m.Record != nil {
 		b, err := json.Marshal(m.Record)
 		if err != nil {
--- a/membership/groups.go
+++ b/membership/groups.go
@@ -8,7 +8,7 @@
 )
 
 // MaxGroup is the largest group; section 3 of the design has the arithmetic.
-const MaxGroup = 16
+const MaxGroup = 10
 
 // Group is what a joining node knows of one group of its service.
 type Group struct {
--- a/node/backend.go
+++ b/node/backend.go
@@ -12,6 +12,7 @@
 	"marjoramshore.example/core"
 	"marjoramshore.example/health"
 	"marjoramshore.example/lease"
+	"marjoramshore.example/membership"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/suspect"
 )
@@ -41,7 +42,6 @@
 	// alive is set while the backend server accepts connections.
 	alive  bool
 	deaths uint64
-	last   announcement
 }
 
 func (n *Node) followBackend(ctx context.Context) {
@@ -74,7 +74,10 @@
 		p.n.log.WithFields(fields{"announced": a.Service, "expected": p.n.cfg.Service}).Error("backend server of another service")
 		return
 	}
-	p.alive, p.last = true, a
+	if !p.n.chooseGroup(ctx) {
+		return
+	}
+	p.alive = true
 	p.n.join(ctx, a)
 }
 
@@ -91,7 +94,7 @@
 		p.n.owner.BackendDied(suspect.DeathID(uint64(p.n.self.Incarnation) + p.deaths))
 	case !p.alive && err == nil:
 		if a, err := p.announcement(ctx); err == nil && a.Service == p.n.cfg.Service {
-			p.alive, p.last = true, a
+			p.alive = true
 			p.n.owner.Resize(a.Slots, a.Connections)
 			p.n.owner.Restarted()
 			p.n.log.Info("backend server restarted")
@@ -151,8 +154,11 @@
 	self := n.self
 	self.ChecksTokens = a.ChecksTokens
 	d, err := lease.New(lease.Config{
-		Ownership: ownership.Config{Group: n.group(), Self: self, Timing: n.cfg.Timing, DrainShare: n.cfg.DrainShare},
-		Clock:     n.clock, Sender: n.sender,
+		Ownership: ownership.Config{
+			Group: n.group(), Self: self, Timing: n.cfg.Timing, Space: membership.GroupSpace(n.number.Load(), n.groups),
+			MayDrain: membership.MayDrain, Successors: membership.ChooseSuccessors, Eligible: n.damper.Eligible,
+		},
+		Clock: n.clock, Sender: n.sender,
 		Records:  &records{store: n.store, key: groupKey(n.group())},
 		HandOver: n.handOver,
 		Publish:  func(s *ownership.Snapshot) { n.publish(ctx, s) },
--- a/node/calls.go
+++ b/node/calls.go
@@ -25,13 +25,16 @@
 		callTable:              n.answerTable,
 		callHandOver:           n.receiveHandOver,
 		callConfig:             n.answerConfig,
+		callEject:              n.answerEject,
+		callMarks:              n.receiveMarks,
+		callBurn:               n.answerBurn,
 		control.MethodRevision: func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ReportRevision(ctx, b) },
 		control.MethodExplain:  func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ExplainOwned(ctx, b) },
 	}
 }
 
 func (n *Node) group() core.GroupID {
-	return core.GroupID{Service: n.cfg.Service, Number: n.cfg.Group}
+	return core.GroupID{Service: n.cfg.Service, Number: n.number.Load()}
 }
 
 // receiveGroup takes one message of the lease protocol.
--- a/node/config.go
+++ b/node/config.go
@@ -19,8 +19,6 @@
 	Region     core.Region
 	DataCentre core.DataCentre
 	Service    core.Service
-	// Group is the ownership group that the node joins.
-	Group uint32
 
 	// CallerListen, PeerListen are the host:port to listen on.
 	CallerListen, PeerListen string
@@ -36,10 +34,9 @@
 	// StoreBudget limits the calls of this node.
 	StoreBudget store.Config
 
-	Timing     ownership.Timing
-	DrainShare float64
-	Admission  admission.Config
-	Once       once.Config
+	Timing    ownership.Timing
+	Admission admission.Config
+	Once      once.Config
 	// MaxWaiting bounds the requests that wait for an owner.
 	MaxWaiting int
 	// MaxConns bounds callers' connections.
--- a/node/declared.go
+++ b/node/declared.go
@@ -56,6 +56,7 @@
 		w[x.Name] = float32(x.Weight)
 	}
 	n.weights.Store(&w)
+	n.burn.push(burnMessage{objectives: objectives(c.Declaration)})
 	n.applyQuarantines(ctx, was.Quarantines, own.Quarantines)
 	return n.applyRevision(ctx, c.Revision, declaredDrain(own, n.cfg.Node), declaredDrain(was, n.cfg.Node))
 }
--- a/node/events.go
+++ b/node/events.go
@@ -31,14 +31,11 @@
 	ask   bool
 }
 
-// events is the duty that owns the journal.
-type eventDuty struct {
-	in  *ring.Ring[eventMessage]
-	log log.Interface
-}
+// eventDuty is the duty that owns the journal.
+type eventDuty struct{ in *ring.Ring[eventMessage] }
 
-func newEventDuty(l log.Interface) *eventDuty {
-	return &eventDuty{in: ring.New[eventMessage]("journal", events, ring.DropOldest), log: l}
+func newEventDuty() *eventDuty {
+	return &eventDuty{in: ring.New[eventMessage]("journal", events, ring.DropOldest)}
 }
 
 func (d *eventDuty) run(ctx context.Context) {
@@ -92,7 +89,10 @@
 	if !ok {
 		t = journal.OwnershipChange
 	}
-	out := journal.Event{Type: t, Group: n.cfg.Group, Node: e.Subject.Node, Term: e.Term, Revision: e.Revision,
+	if e.Kind == ownership.EventLost {
+		n.damper.Lost(core.Member{Node: e.Subject.Node, Incarnation: e.Subject.Incarnation}, n.clock.Now())
+	}
+	out := journal.Event{Type: t, Group: n.number.Load(), Node: e.Subject.Node, Term: e.Term, Revision: e.Revision,
 		Cause: string(e.Kind) + " at table " + tokenText(e.Table)}
 	if e.Range != (core.Range{}) {
 		out.Range = &e.Range
--- a/node/node.go
+++ b/node/node.go
@@ -19,12 +19,14 @@
 	"marjoramshore.example/frontend"
 	"marjoramshore.example/gate"
 	"marjoramshore.example/lease"
+	"marjoramshore.example/membership"
 	"marjoramshore.example/operator"
 	"marjoramshore.example/owner"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/routing"
 	"marjoramshore.example/store"
 	"marjoramshore.example/transport"
+	"marjoramshore.example/transport/datagram"
 )
 
 // Node is one process: an entrance for callers, and the owner's side beside
@@ -39,6 +41,7 @@
 	peers    *transport.Client
 	server   *transport.Server
 	sender   *sender
+	socket   *datagram.Socket
 	tables   *entrance.Tables
 	router   *entrance.Router
 	owner    *owner.Owner
@@ -48,6 +51,10 @@
 	control  *control.Control
 	weights  atomic.Pointer[weights]
 	journal  *eventDuty
+	burn     *burnDuty
+	damper   *membership.Damper // owned by the lease duty
+	number   atomic.Uint32      // of the group, set before the lease duty starts
+	groups   uint32             // of the service, likewise
 	ejection *ejection
 	log      log.Interface
 	// work runs short control calls to other nodes.
@@ -81,7 +88,8 @@
 		n.log = &log.Logger{Handler: discard.Default, Level: log.FatalLevel}
 	}
 	n.log = n.log.WithField("self", cfg.Node)
-	n.journal, n.ejection = newEventDuty(n.log), newEjection(n)
+	n.journal, n.ejection, n.burn = newEventDuty(), newEjection(n), newBurnDuty(n.clock)
+	n.damper = membership.NewDamper(membership.DefaultDamping())
 	steps := []func() error{n.openStore, n.openPeers, n.openOwner, n.openEntrance, n.openConfig, n.openOperators}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -119,7 +127,13 @@
 	if n.work, err = ants.NewPool(controlCalls, ants.WithNonblocking(true), ants.WithDisablePurge(true)); err != nil {
 		return core.Wrap(core.CodeInternal, err, "control pool")
 	}
-	n.sender, err = newSender(n.peers)
+	n.socket, err = datagram.Open(datagram.Config{
+		Addr: n.server.Addr(), Advertise: n.self.Address, Keys: [][]byte{n.cfg.PeerKey},
+	})
+	if err != nil {
+		return err
+	}
+	n.sender, err = newSender(n.peers, n.socket)
 	return err
 }
 
@@ -192,6 +206,8 @@
 	n.cancel = cancel
 	n.run(func() { n.store.Run(ctx) })
 	n.run(func() { n.sender.run(ctx) })
+	n.run(func() { n.receive(ctx) })
+	n.run(func() { n.burn.run(ctx) })
 	n.run(func() { n.tables.Run(ctx) })
 	n.run(func() { n.owner.Run(ctx) })
 	n.run(func() { n.config.Run(ctx) })
@@ -222,12 +238,9 @@
 func spans(groups uint32) []routing.Span {
 	groups = max(groups, 1)
 	out := make([]routing.Span, groups)
-	step := ^core.Hash(0)/core.Hash(groups) + 1
-	for i := range out {
-		lo := core.Hash(i) * step
-		out[i] = routing.Span{Group: uint32(i), Range: core.Range{Lo: lo, Hi: lo + step - 1}}
+	for i := range groups {
+		out[i] = routing.Span{Group: i, Range: membership.GroupSpace(i, groups)}
 	}
-	out[groups-1].Range.Hi = ^core.Hash(0)
 	return out
 }
 
@@ -245,15 +258,20 @@
 	return nil
 }
 
-// serveCaller serves a caller's request and journals refusals.
+// serveCaller serves a caller's request, journals refusals and counts the
+// outcome against the service's objectives.
 func (n *Node) serveCaller(ctx context.Context, req *core.Request) (*core.Response, error) {
+	start := time.Now()
 	resp, err := n.router.Serve(ctx, req)
 	if err != nil {
-		if code := core.CodeOf(err); code.NotRun() {
+		code := core.CodeOf(err)
+		if code.NotRun() {
 			n.recordRefusal(req, code)
 		}
+		n.burn.failed(req, code, time.Since(start))
+		return nil, err
 	}
-	return resp, err
+	return n.burn.track(req, resp, start), nil
 }
 
 // serveOwned serves exchanges of other nodes, which only come to the owner.
--- a/node/operators.go
+++ b/node/operators.go
@@ -13,13 +13,11 @@
 // openOperators prepares the operators' API. Without an address there is none.
 func (n *Node) openOperators() (err error) {
 	n.control = control.New(control.Config{
-		Self: n.self, Region: n.cfg.Region, Service: n.cfg.Service, Group: n.group(), Clock: n.clock,
+		Self: n.self, Region: n.cfg.Region, Service: n.cfg.Service, Group: n.group, Clock: n.clock,
 		Lease: n.Lease, View: n.tables.View, Current: n.config.Current, Offer: n.config.Offer,
 		Store: n.store, StoreStatus: n.storeStatus, Backend: n.backendStatus,
 		Events: n.latestEvents, EventsOf: n.eventsOf,
-		Burn: func(context.Context, *control.Control, bool) (operator.Burn, error) {
-			return operator.Burn{}, core.Fail(core.CodeUnavailable, "no report yet")
-		},
+		Burn:  n.gatherBurn,
 		Peers: n.peers,
 	})
 	if n.cfg.OperatorListen == "" {
--- a/node/sender.go
+++ b/node/sender.go
@@ -11,11 +11,14 @@
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/ring"
 	"marjoramshore.example/transport"
+	"marjoramshore.example/transport/datagram"
 )
 
 const (
 	// outgoing bounds queued group messages. They repeat, so the oldest goes.
 	outgoing = 256
+	// groupKind marks datagrams that hold a group message.
+	groupKind = 1
 	// streamWorkers bounds group messages on their way over a stream.
 	streamWorkers = 16
 	// streamTimeout bounds one such message: two heartbeats.
@@ -27,19 +30,21 @@
 	msg ownership.Message
 }
 
-// sender is the duty that encodes group messages and sends them.
+// sender is the duty that encodes group messages and sends them: as datagrams,
+// or over a stream when they hold a table or a record.
 type sender struct {
-	out   *ring.Ring[addressed]
-	peers *transport.Client
-	pool  *ants.Pool
+	out    *ring.Ring[addressed]
+	peers  *transport.Client
+	socket *datagram.Socket
+	pool   *ants.Pool
 }
 
-func newSender(peers *transport.Client) (*sender, error) {
+func newSender(peers *transport.Client, socket *datagram.Socket) (*sender, error) {
 	pool, err := ants.NewPool(streamWorkers, ants.WithNonblocking(true), ants.WithDisablePurge(true))
 	if err != nil {
 		return nil, core.Wrap(core.CodeInternal, err, "sender: worker pool")
 	}
-	return &sender{out: ring.New[addressed]("group messages", outgoing, ring.DropOldest), peers: peers, pool: pool}, nil
+	return &sender{out: ring.New[addressed]("group messages", outgoing, ring.DropOldest), peers: peers, socket: socket, pool: pool}, nil
 }
 
 // Send implements lease.Sender.
@@ -57,6 +62,10 @@
 	if err != nil {
 		return
 	}
+	if len(b) <= datagram.MaxPayload {
+		_ = s.socket.Send(a.to.Address, groupKind, b)
+		return
+	}
 	// A full pool drops the message; the protocol repeats it.
 	_ = s.pool.Submit(func() {
 		call, cancel := context.WithTimeout(ctx, streamTimeout)
@@ -64,3 +73,14 @@
 		_, _ = s.peers.Call(call, a.to.Address, callGroup, b)
 	})
 }
+
+// receive is the duty that hands received datagrams to the lease duty.
+func (n *Node) receive(ctx context.Context) {
+	ring.Duty(ctx, n.socket.In(), 0, func(d datagram.Datagram) {
+		if d.Kind == groupKind {
+			// A message that is not for this run, or that the lease duty has
+			// no room for, is dropped like a lost datagram.
+			_, _ = n.receiveGroup(ctx, d.Payload)
+		}
+	}, nil)
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -75,5 +75,7 @@
 	_ = n.server.Close()
 	n.cancel()
 	n.duties.Wait()
+	_ = n.socket.Close()
 	_ = n.peers.Close()
+	n.work.Release()
 }
