--- a/ownership/api.go
+++ b/ownership/api.go
@@ -144,6 +144,9 @@
 
 // HandOver asks to send the at-most-once records of Range to To. New work for
 // Range is already refused by the published snapshot; the caller lets it wait.
+// Exchanges that were admitted before are still in flight: short ones are
+// waited for, and the hashes of long ones are kept with HandedOver.Keep. No
+// report within Timing.HandOver counts as HandOverFailed.
 type HandOver struct {
 	Move  uint64
 	Range core.Range
--- a/ownership/node.go
+++ b/ownership/node.go
@@ -74,7 +74,10 @@
 }
 
 // Step processes one input at now and returns the effects, which the caller
-// must carry out in order. The slice is valid until the next Step.
+// must carry out in order: a PublishLease comes first, so that a range is no
+// longer served when its release is sent. now must be read after the input was
+// received, because promises and leases are counted from it. The slice is valid
+// until the next Step.
 func (n *Node) Step(now clock.Instant, in Input) []Effect {
 	n.now = max(n.now, now)
 	n.out = n.out[:0]
