--- a/ownership/fakestore_test.go
+++ b/ownership/fakestore_test.go
@@ -41,9 +41,9 @@
 	return d
 }
 
-func (f *fakeStore) get(done func(StoreRead)) {
+func (f *fakeStore) get(cut bool, done func(StoreRead)) {
 	f.gets++
-	if f.mode == storeDown {
+	if f.mode == storeDown || cut {
 		f.s.after(time.Duration(f.s.rng.Int64N(int64(clientTimeout))), func() { done(StoreRead{Status: ReadUnavailable}) })
 		return
 	}
@@ -65,13 +65,13 @@
 	})
 }
 
-func (f *fakeStore) put(rec *GroupRecord, ifVersion uint64, done func(StorePut)) {
+func (f *fakeStore) put(cut bool, rec *GroupRecord, ifVersion uint64, done func(StorePut)) {
 	f.puts++
 	value, err := json.Marshal(rec)
 	if err != nil {
 		panic(err)
 	}
-	if f.mode == storeDown {
+	if f.mode == storeDown || cut {
 		if f.s.rng.Float64() < 0.1 { // reached the store, which applies it late
 			f.s.after(time.Duration(f.s.rng.Int64N(int64(20*time.Second))), func() { f.apply(value, ifVersion) })
 		}
--- a/ownership/random_test.go
+++ b/ownership/random_test.go
@@ -54,7 +54,7 @@
 }
 
 func (s *sim) randomFault() {
-	switch s.rng.IntN(13) {
+	switch s.rng.IntN(15) {
 	case 0, 1:
 		s.crashAndRestart(s.target(), s.randomDuration(8*time.Second))
 	case 2, 3:
@@ -75,6 +75,11 @@
 		s.randomDrain()
 	case 12:
 		s.newRevision()
+	case 13, 14:
+		i := s.target().index
+		s.logf("NOSTORE %d", i)
+		s.noStore[i] = true
+		s.after(s.randomDuration(20*time.Second), func() { delete(s.noStore, i) })
 	}
 }
 
@@ -167,7 +172,7 @@
 
 // heal ends all faults and restarts what is down.
 func (s *sim) heal() {
-	s.blocked = map[[2]int]bool{}
+	s.blocked, s.noStore = map[[2]int]bool{}, map[int]bool{}
 	s.loss, s.slowDown, s.store.mode, s.keepShare = 0, 0, storeUp, 0
 	for _, n := range s.nodes {
 		if !n.up() || n.node.m.stopping {
--- a/ownership/scenario_test.go
+++ b/ownership/scenario_test.go
@@ -95,6 +95,11 @@
 			s.store.mode = storeDown
 			return s.lose(s.ordinary())
 		}},
+		{"coordinator without the store, ordinary node lost", func(s *sim) []*simNode {
+			s.noStore[s.coordinator().index] = true
+			s.run(time.Minute)
+			return s.lose(s.ordinary())
+		}},
 		{"coordinator lost", func(s *sim) []*simNode { return s.lose(s.coordinator()) }},
 		{"successor lost", func(s *sim) []*simNode { return s.lose(s.successor(0)) }},
 		{"coordinator and a member lost", func(s *sim) []*simNode { return s.lose(s.coordinator(), s.ordinary()) }},
--- a/ownership/sim_test.go
+++ b/ownership/sim_test.go
@@ -42,7 +42,9 @@
 	nodes  []*simNode
 	store  *fakeStore
 	// blocked[from][to] drops messages of one direction.
-	blocked  map[[2]int]bool
+	blocked map[[2]int]bool
+	// noStore names the nodes that cannot reach the store.
+	noStore  map[int]bool
 	loss     float64
 	slowDown float64
 	steps    int
@@ -85,7 +87,7 @@
 
 func newSim(seed uint64, count, dcs int, timing Timing) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), timing: timing, blocked: map[[2]int]bool{},
+		rng: rand.New(rand.NewPCG(seed, 1)), timing: timing, blocked: map[[2]int]bool{}, noStore: map[int]bool{},
 		tokens: map[core.Hash]tokenSeen{}, events: map[EventKind]int{}, slowDown: 0,
 	}
 	s.store = &fakeStore{s: s}
@@ -232,9 +234,9 @@
 	case SendTo:
 		s.transmit(n, x.To, x.Message)
 	case GetGroup:
-		s.store.get(func(r StoreRead) { r.ID = x.ID; s.toProcess(n, inc, r) })
+		s.store.get(s.noStore[n.index], func(r StoreRead) { r.ID = x.ID; s.toProcess(n, inc, r) })
 	case PutGroup:
-		s.store.put(x.Record, x.IfVersion, func(r StorePut) { r.ID = x.ID; s.toProcess(n, inc, r) })
+		s.store.put(s.noStore[n.index], x.Record, x.IfVersion, func(r StorePut) { r.ID = x.ID; s.toProcess(n, inc, r) })
 	case HandOver:
 		s.handOver(n, x)
 	case JournalEvent:
