--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -10,6 +10,10 @@
 // leastGain is the part of a share that a single move must transfer.
 const leastGain = 0.02
 
+// swapGain is the part of the excess that must be left at most after a hash
+// moved to a member that cannot hold it without giving ranges away.
+const swapGain = 0.7
+
 // fillKeeps is the ratio that a member keeps when it gives load to one that is
 // far below its share.
 const fillKeeps = 0.9
@@ -71,6 +75,9 @@
 // that stopped at High would have no room for the next hot key of the same
 // load, and that key would then displace a range elsewhere.
 func (r *run) relieveByRange(o int) {
+	if to, ok := r.swapHost(o); ok {
+		o = to
+	}
 	for r.ratio(o) > r.cfg.Target && r.allowed(0) {
 		if !r.giveRange(o, r.load[o]-r.cfg.Target*r.share[o], ReasonOverload) {
 			return
@@ -78,6 +85,26 @@
 	}
 }
 
+// swapHost moves the heaviest hash of o to the lightest member when that one
+// would then have less to give away than o has now. It returns the member,
+// which takes the place of o among the members to relieve.
+func (r *run) swapHost(o int) (int, bool) {
+	hot := r.hotHashes(o)
+	to, ok := r.receiver(0, r.cfg.Target, o, r.cfg.MaxIncoming)
+	if len(hot) == 0 || !ok || !r.allowed(0) {
+		return 0, false
+	}
+	h := hot[len(hot)-1]
+	excess := r.load[o] - r.cfg.Target*r.share[o]
+	if h.Rate < excess || r.load[to]+h.Rate-r.cfg.Target*r.share[to] > swapGain*excess {
+		return 0, false
+	}
+	r.move(r.carve(r.find(h.Hash), core.Range{Lo: h.Hash, Hi: h.Hash}), to, ReasonOverload)
+	from, node := r.table.Members[o].Node, r.table.Members[to].Node
+	r.over[node], r.steep[node] = r.over[from], r.steep[from]
+	return to, true
+}
+
 // hotHashes returns the hashes of a member that are worth a move, the lightest
 // first. The caller must not change the result.
 func (r *run) hotHashes(o int) []Hitter {
