Keep connections across refusals, and let deadlines end stalled bodies

A refused request with an unread small body cost its connection and up to a second of waiting, although hertz holds such a body whole. A deadline did not end the read of a small body that stalls. Closing a body could wait for the idle timeout when the read had just set a new deadline.

--- a/core/body.go
+++ b/core/body.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"io"
 	"sync/atomic"
 )
@@ -68,3 +69,31 @@
 
 func (noBody) Read([]byte) (int, error) { return 0, io.EOF }
 func (noBody) Close() error             { return nil }
+
+// ReadWhole reads a body of known length before a stage sends any of it, and
+// gives up when ctx ends. Every failure proves that the request did not run.
+func ReadWhole(ctx context.Context, body io.ReadCloser, length int64) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
+	}
+	stop := context.AfterFunc(ctx, func() { _ = body.Close() })
+	defer stop()
+	buf := make([]byte, length)
+	_, err := io.ReadFull(body, buf)
+	if err == nil {
+		return buf, nil
+	}
+	if ctx.Err() != nil {
+		return nil, EndedNotRun(ctx)
+	}
+	return nil, Wrap(CodeCanceledNotRun, err, "request body cut before it was sent")
+}
+
+// EndedNotRun is the failure of a request whose context ended before a byte of
+// it was sent.
+func EndedNotRun(ctx context.Context) *Error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return Fail(CodeDeadlineNotRun, "deadline passed before the request was sent")
+	}
+	return Fail(CodeCanceledNotRun, "caller went away before the request was sent")
+}
--- a/frontend/body.go
+++ b/frontend/body.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
+	"marjoramshore.example/core"
 )
 
 // rateGrace is the waiting time after which the least rate applies, so that a
@@ -30,8 +32,9 @@
 	read int64
 	// waited is the time spent in reads. Time in which a later stage holds the
 	// upload back does not count against the caller.
-	waited time.Duration
-	onEnd  func()
+	waited  time.Duration
+	onEnd   func()
+	stopped atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -45,6 +48,9 @@
 	}
 	start := time.Now()
 	_ = u.conn.SetReadDeadline(start.Add(u.cfg.BodyIdleTimeout))
+	if u.stopped.Load() {
+		return 0, core.ClosedBodyError{} // interrupt ran before the line above
+	}
 	n, err := u.src.Read(p)
 	u.waited += time.Since(start)
 	u.read += int64(n)
@@ -83,4 +89,7 @@
 }
 
 // interrupt ends a blocked read.
-func (u *upload) interrupt() { _ = u.conn.SetReadDeadline(time.Unix(1, 0)) }
+func (u *upload) interrupt() {
+	u.stopped.Store(true)
+	_ = u.conn.SetReadDeadline(time.Unix(1, 0))
+}
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -30,6 +30,7 @@
 		return
 	}
 	f.counts.exchanges.Add(1)
+	c.busy.Store(true) // a pipelined request may have been read earlier
 	x := &exchange{f: f, rc: rc, conn: c}
 	x.out = newAnswer(x)
 	defer f.running.Add(-1)
@@ -138,19 +139,29 @@
 	case x.pendingBody():
 		x.linger()
 	default:
-		x.conn.busy.Store(false)
+		x.conn.busy.Store(x.rc.GetConn().Len() > 0) // a further request may be here
 		if x.f.draining.Load() {
 			_ = x.conn.Close()
 		}
 	}
 }
 
-// pendingBody reports whether bytes of the request are still to come.
+// prefetched is the size up to which hertz has read a body of known length
+// before it calls the handler.
+const prefetched = 8 << 10
+
+// pendingBody reports whether bytes of the request are still to come. A small
+// body never is, so that a refusal costs no connection.
 func (x *exchange) pendingBody() bool {
-	if x.body != nil {
-		return !x.body.Whole()
+	length := bodyLength(&x.rc.Request.Header)
+	switch {
+	case !x.framed:
+		return true
+	case length >= 0 && length <= prefetched:
+		return false
+	default:
+		return x.body == nil || !x.body.Whole()
 	}
-	return !x.framed || bodyLength(&x.rc.Request.Header) != 0
 }
 
 // Bounds of the wait for a caller that is still sending when its answer is
--- a/frontend/outcome_test.go
+++ b/frontend/outcome_test.go
@@ -164,6 +164,36 @@
 	must.NoError(t, await(t, down, "the shutdown"))
 }
 
+// Guards against refusals that cost a connection each, which would turn an
+// overload into a storm of new connections.
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	f, url := newFrontend(t, frontend.Config{Handler: core.HandlerFunc(func(context.Context, *core.Request) (*core.Response, error) {
+		return nil, core.Fail(core.CodeQueueFull, "full")
+	})})
+	for _, size := range []int{0, 1, 8 << 10} {
+		resp := expectFailure(t, request(t, "POST", url, strings.NewReader(strings.Repeat("x", size))), 429, core.OutcomeRefusedNotRun, "queue-full")
+		must.False(t, resp.Close)
+	}
+	must.Eq(t, int64(1), f.Stats().Conns)
+	resp := expectFailure(t, request(t, "POST", url, strings.NewReader(strings.Repeat("x", 100_000))), 429, core.OutcomeRefusedNotRun, "queue-full")
+	must.True(t, resp.Close)
+}
+
+// Guards against a deadline that waits for a body which stalls.
+func TestDeadlineEndsStalledBody(t *testing.T) {
+	p := newPath(t, http.HandlerFunc(ok), nil)
+	c, err := net.Dial("tcp", p.front.Addr())
+	must.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nMarjoram-Service: s\r\nMarjoram-Key: k\r\nMarjoram-Deadline-Ms: 100\r\nContent-Length: 20000\r\n\r\n"+strings.Repeat("a", 10_000))
+	must.NoError(t, err)
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusGatewayTimeout, resp.StatusCode)
+	must.Eq(t, "deadline-passed-not-run", resp.Header.Get(frontend.HeaderOutcome))
+}
+
 // Guards against connections beyond the bound.
 func TestConnectionBound(t *testing.T) {
 	f, _ := newFrontend(t, frontend.Config{MaxConns: 1, Handler: core.HandlerFunc(nil)})
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -55,7 +55,7 @@
 }
 
 func (g *Gate) serve(ctx context.Context, cancel context.CancelFunc, req *core.Request) (*core.Response, error) {
-	body, err := prepareBody(req)
+	body, err := prepareBody(ctx, req)
 	if err != nil {
 		return nil, err
 	}
@@ -73,15 +73,12 @@
 }
 
 // prepareBody reads a small body whole; its failure precedes the first byte.
-func prepareBody(req *core.Request) (io.Reader, error) {
+func prepareBody(ctx context.Context, req *core.Request) (io.Reader, error) {
 	if req.Length < 0 || req.Length > copySize {
 		return req.Body, nil
 	}
-	buf := make([]byte, req.Length)
-	if _, err := io.ReadFull(req.Body, buf); err != nil {
-		return nil, core.Wrap(core.CodeCanceledNotRun, err, "request body cut before it was sent")
-	}
-	return bytes.NewReader(buf), nil
+	buf, err := core.ReadWhole(ctx, req.Body, req.Length)
+	return bytes.NewReader(buf), err
 }
 
 func (x *exchange) run() (*core.Response, error) {
@@ -109,7 +106,7 @@
 // permit asks for the right to send. Nothing has been written yet.
 func (x *exchange) permit() error {
 	if x.ctx.Err() != nil {
-		return notRun(x.ctx)
+		return core.EndedNotRun(x.ctx)
 	}
 	var p Permit
 	if ask := x.g.cfg.Permit; ask != nil {
@@ -145,7 +142,7 @@
 func (x *exchange) unsent(err error) error {
 	switch {
 	case x.ctx.Err() != nil:
-		return notRun(x.ctx)
+		return core.EndedNotRun(x.ctx)
 	case err != nil:
 		return core.Wrap(core.CodeBackendDown, err, "send to backend server")
 	default:
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		p.release()
 		if ctx.Err() != nil {
-			return nil, notRun(ctx)
+			return nil, core.EndedNotRun(ctx)
 		}
 		return nil, core.Wrap(core.CodeBackendDown, err, "connect to backend server")
 	}
@@ -122,7 +122,7 @@
 		return core.Fail(core.CodeDraining, "gate is shutting down")
 	}
 	if ctx.Err() != nil {
-		return notRun(ctx)
+		return core.EndedNotRun(ctx)
 	}
 	select {
 	case p.slots <- struct{}{}:
@@ -139,7 +139,7 @@
 	case <-t.C:
 		return core.Fail(core.CodeOverloaded, "all connections to the backend server are in use")
 	case <-ctx.Done():
-		return notRun(ctx)
+		return core.EndedNotRun(ctx)
 	}
 }
 
@@ -208,11 +208,3 @@
 		}
 	}
 }
-
-// notRun turns the end of ctx into a code that proves the request did not run.
-func notRun(ctx context.Context) error {
-	if ctx.Err() == context.DeadlineExceeded {
-		return core.Fail(core.CodeDeadlineNotRun, "deadline passed before the request was sent")
-	}
-	return core.Fail(core.CodeCanceledNotRun, "caller went away before the request was sent")
-}
--- a/transport/classify.go
+++ b/transport/classify.go
@@ -27,11 +27,8 @@
 	}
 	switch {
 	case !a.connected.Load():
-		switch ctx.Err() {
-		case context.DeadlineExceeded:
-			return core.Wrap(core.CodeDeadlineNotRun, err, "deadline passed before the request was sent")
-		case context.Canceled:
-			return core.Wrap(core.CodeCanceledNotRun, err, "caller went away before the request was sent")
+		if ctx.Err() != nil {
+			return core.EndedNotRun(ctx)
 		}
 		return core.Wrap(core.CodePeerUnreachable, err, "connect to peer "+a.addr)
 	case unprocessed(err):
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -35,13 +35,14 @@
 	c.counts.exchanges.Add(1)
 	head := &peerv1.ExchangeFrame{Head: &peerv1.ExchangeFrame_Request{Request: encodeRequest(req)}}
 	whole := req.Length >= 0 && req.Length <= frameSize
-	if whole && req.Length > 0 {
-		head.Data = make([]byte, req.Length)
-		if _, err := io.ReadFull(req.Body, head.Data); err != nil {
-			return nil, core.Wrap(core.CodeCanceledNotRun, err, "request body cut before it was sent")
+	sctx, cancel := withDeadline(ctx, req.Deadline)
+	if whole {
+		var err error
+		if head.Data, err = core.ReadWhole(sctx, req.Body, req.Length); err != nil {
+			cancel()
+			return nil, err
 		}
 	}
-	sctx, cancel := withDeadline(ctx, req.Deadline)
 	x := &outgoing{c: c, ctx: sctx, cancel: cancel, a: &attempt{addr: addr}, method: req.Method}
 	resp, err := x.run(head, req.Body, whole)
 	if err != nil {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -152,6 +152,7 @@
 		{"canceled before", c, over, broken.Addr(), newRequest("POST", ""), core.CodeCanceledNotRun},
 		{"deadline before", c, t.Context(), broken.Addr(), past, core.CodeDeadlineNotRun},
 		{"stream reset by handler", c, t.Context(), broken.Addr(), newRequest("POST", ""), core.CodeUnknown},
+		{"stream reset on a reused connection", c, t.Context(), broken.Addr(), newRequest("POST", ""), core.CodeUnknown},
 		{"deadline while running", c, t.Context(), hangs.Addr(), late, core.CodeUnknown},
 		{"wrong key", stranger, t.Context(), broken.Addr(), newRequest("POST", ""), core.CodePeerUnreachable},
 		{"small body cut", c, t.Context(), broken.Addr(), cut, core.CodeCanceledNotRun},
