--- a/frontend/bench_test.go
+++ b/frontend/bench_test.go
@@ -21,14 +21,23 @@
 	"marjoramshore.example/gate"
 )
 
-// BenchmarkPath reports throughput and latency of small requests, directly to
-// the stand-in backend server and through two nodes, at three levels of
-// concurrency. Compare within one run only; the machine is shared.
+// BenchmarkPath reports throughput and latency of small requests at three
+// levels of concurrency: directly to the stand-in backend server, through the
+// node beside it, and through two nodes. Compare within one run only; the machine is shared.
 func BenchmarkPath(b *testing.B) {
 	s := httptest.NewServer(http.HandlerFunc(small))
 	defer s.Close()
 	for _, callers := range []int{1, 64, 512} {
 		b.Run("direct/"+strconv.Itoa(callers), func(b *testing.B) { measure(b, s.URL, callers) })
+		b.Run("local/"+strconv.Itoa(callers), func(b *testing.B) {
+			g, err := gate.New(gate.Config{BackendAddr: s.Listener.Addr().String(), MaxConns: 1024})
+			must.NoError(b, err)
+			f, err := frontend.New(frontend.Config{Addr: "127.0.0.1:0", Handler: g})
+			must.NoError(b, err)
+			f.Start()
+			defer f.Close()
+			measure(b, "http://"+f.Addr(), callers)
+		})
 		b.Run("path/"+strconv.Itoa(callers), func(b *testing.B) {
 			p := newPath(b, http.HandlerFunc(small), nil)
 			measure(b, p.url, callers)
--- a/frontend/doc.go
+++ b/frontend/doc.go
@@ -20,6 +20,9 @@
 //	503  refused-not-run: every other reason
 //	504  deadline-passed-not-run
 //
+// Input that is not HTTP, a head above the limit (431) and a head that does not
+// arrive in time (408) are answered by hertz without these headers; nothing ran.
+//
 // An exchange that breaks off after the response head was sent ends with a TCP
 // reset, never with a final chunk or a clean close.
 package frontend
