Survive descriptor exhaustion, and close stages that never started

hertz stops serving for good when an accept fails, so the listener now waits and tries again when descriptors run out. Shutdown of a stage that was never started waited without end.

Measured: all tests of core, gate, transport and frontend pass with -race.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -77,6 +79,11 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if exhausted(err) {
+			// hertz would stop serving for good; descriptors come back.
+			<-time.After(acceptPause)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -94,6 +101,15 @@
 	}
 }
 
+// acceptPause is the pause after the process ran out of descriptors.
+const acceptPause = 50 * time.Millisecond
+
+// exhausted reports whether an accept failed for a reason that passes.
+func exhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 func (l *listener) forget(c *conn) {
 	l.conns.Delete(c)
 	l.open.Add(-1)
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -99,7 +99,8 @@
 	ln       *listener
 	hz       *server.Hertz
 	watchers *ants.Pool
-	served   chan struct{}
+	served   chan struct{} // closed when the server has ended
+	started  atomic.Bool
 	draining atomic.Bool
 	running  atomic.Int64
 	counts   counters
@@ -157,6 +158,9 @@
 
 // Start serves on a goroutine of its own until Shutdown or Close.
 func (f *Frontend) Start() {
+	if f.started.Swap(true) {
+		return
+	}
 	go func() {
 		defer close(f.served)
 		_ = f.hz.Run()
@@ -166,9 +170,7 @@
 // Shutdown refuses new exchanges, closes idle connections and waits until the
 // running exchanges have ended or ctx ends. It cuts nothing.
 func (f *Frontend) Shutdown(ctx context.Context) error {
-	f.draining.Store(true)
-	_ = f.ln.Listener.Close()
-	<-f.served
+	f.stopAccepting()
 	if err := f.ln.drain(ctx); err != nil {
 		return core.Wrap(core.CodeUnavailable, err, "frontend: exchanges still running")
 	}
@@ -178,14 +180,20 @@
 
 // Close cuts every connection at once.
 func (f *Frontend) Close() error {
-	f.draining.Store(true)
-	_ = f.ln.Listener.Close()
-	<-f.served
+	f.stopAccepting()
 	f.ln.each((*conn).reset)
 	f.watchers.Release()
 	return nil
 }
 
+func (f *Frontend) stopAccepting() {
+	f.draining.Store(true)
+	_ = f.ln.Listener.Close()
+	if f.started.Load() {
+		<-f.served
+	}
+}
+
 // Stats returns the frontend's counters.
 func (f *Frontend) Stats() Stats {
 	c := &f.counts
--- a/frontend/outcome_test.go
+++ b/frontend/outcome_test.go
@@ -15,6 +15,7 @@
 	"marjoramshore.example/core"
 	"marjoramshore.example/frontend"
 	"marjoramshore.example/gate"
+	"marjoramshore.example/transport"
 )
 
 type failure struct {
@@ -194,6 +195,19 @@
 	must.Eq(t, "deadline-passed-not-run", resp.Header.Get(frontend.HeaderOutcome))
 }
 
+// Guards against a close that waits for a server which never ran.
+func TestCloseWithoutStart(t *testing.T) {
+	h := core.HandlerFunc(nil)
+	f, err := frontend.New(frontend.Config{Addr: "127.0.0.1:0", Handler: h})
+	must.NoError(t, err)
+	must.NoError(t, f.Shutdown(t.Context()))
+	auth, err := transport.NewAuthenticator(0, []byte(strings.Repeat("k", 32)))
+	must.NoError(t, err)
+	s, err := transport.NewServer(transport.ServerConfig{Addr: "127.0.0.1:0", Handler: h, Auth: auth})
+	must.NoError(t, err)
+	must.NoError(t, s.Close())
+}
+
 // Guards against connections beyond the bound.
 func TestConnectionBound(t *testing.T) {
 	f, _ := newFrontend(t, frontend.Config{MaxConns: 1, Handler: core.HandlerFunc(nil)})
--- a/transport/server.go
+++ b/transport/server.go
@@ -75,7 +75,8 @@
 	cfg     ServerConfig
 	http    *http.Server
 	ln      *limitListener
-	served  chan struct{}
+	served  chan struct{} // closed when the server has ended
+	started atomic.Bool
 	running atomic.Int64
 	counts  struct{ exchanges, refused, strangers atomic.Uint64 }
 }
@@ -117,6 +118,9 @@
 
 // Start serves on a goroutine of its own until Shutdown or Close.
 func (s *Server) Start() {
+	if s.started.Swap(true) {
+		return
+	}
 	go func() {
 		defer close(s.served)
 		if s.cfg.TLS != nil {
@@ -132,17 +136,27 @@
 	if err := s.http.Shutdown(ctx); err != nil {
 		return core.Wrap(core.CodeUnavailable, err, "transport: exchanges still running")
 	}
-	<-s.served
+	s.ended()
 	return nil
 }
 
 // Close cuts everything at once.
 func (s *Server) Close() error {
 	_ = s.http.Close()
-	<-s.served
+	s.ended()
 	return nil
 }
 
+// ended closes the listener in case it was never served, and waits for the
+// server otherwise.
+func (s *Server) ended() {
+	if s.started.Load() {
+		<-s.served
+		return
+	}
+	_ = s.ln.Close()
+}
+
 // Stats returns the server's counters.
 func (s *Server) Stats() ServerStats {
 	return ServerStats{
