--- a/frontend/cut_test.go
+++ b/frontend/cut_test.go
@@ -139,6 +139,9 @@
 			await(t, running, "the request to run")
 			cancel()
 			await(t, canceled, "the backend server to be told")
+			for end := time.Now().Add(patience); !begun && (p.front.Stats().Gone == 0 || p.gate.Stats().Abandoned == 0); time.Sleep(time.Millisecond) {
+				must.True(t, time.Now().Before(end), must.Sprint(p.front.Stats(), p.gate.Stats()))
+			}
 		})
 	}
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -242,6 +242,37 @@
 	}
 }
 
+// Guards against uploads without bound, and against a place in the pool that a
+// finished upload keeps.
+func TestUploadPoolRefusesWhenFull(t *testing.T) {
+	release := make(chan struct{})
+	s, _ := newPair(t, ServerConfig{Handler: core.HandlerFunc(func(context.Context, *core.Request) (*core.Response, error) {
+		<-release
+		return nil, core.Fail(core.CodeDraining, "no")
+	})})
+	c, err := NewClient(ClientConfig{Auth: newAuth(t, testKey), Uploads: 1})
+	must.NoError(t, err)
+	defer c.Close()
+	upload := func() error {
+		req := newRequest("POST", "")
+		req.Length, req.Body = 1<<30, io.NopCloser(zeros{})
+		_, err := c.Exchange(t.Context(), s.Addr(), req)
+		return err
+	}
+	first := make(chan error, 1)
+	go func() { first <- upload() }()
+	for s.Stats().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, core.CodeOverloaded, core.CodeOf(upload()))
+	close(release)
+	must.Eq(t, core.CodeDraining, core.CodeOf(<-first))
+	for c.Stats().Uploading > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, core.CodeDraining, core.CodeOf(upload()))
+}
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
