--- a/frontend/header_test.go
+++ b/frontend/header_test.go
@@ -1,10 +1,14 @@
 package frontend_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"marjoramshore.example/gate"
@@ -82,3 +86,42 @@
 	must.Eq(t, int64(1), p.front.Stats().Conns)
 	must.Eq(t, uint64(0), p.front.Stats().Cut)
 }
+
+// Guards against an upload that waits for a 100 (Continue) which never comes,
+// and an HTTP/1.0 caller that gets chunks.
+func TestOtherCallers(t *testing.T) {
+	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, strconv.FormatInt(n, 10))
+		_ = http.NewResponseController(w).Flush() // no length
+	}), nil)
+	for _, tc := range []struct{ head, body, want string }{
+		{"POST / HTTP/1.1\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 50000\r\n", strings.Repeat("x", 50_000), "50000"},
+		{"POST / HTTP/1.0\r\nContent-Length: 3\r\n", "abc", "3"},
+		{"GET / HTTP/1.0\r\n", "", "0"},
+		{"PUT / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n", "3\r\nabc\r\n0\r\nX-T: 1\r\n\r\n", "3"},
+	} {
+		c, err := net.Dial("tcp", p.front.Addr())
+		must.NoError(t, err)
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(patience))
+		_, err = io.WriteString(c, tc.head+"Host: x\r\nMarjoram-Service: s\r\nMarjoram-Key: k\r\n\r\n")
+		must.NoError(t, err)
+		br := bufio.NewReader(c)
+		if strings.Contains(tc.head, "Expect") {
+			resp, err := http.ReadResponse(br, nil)
+			must.NoError(t, err)
+			must.Eq(t, 100, resp.StatusCode)
+		}
+		_, err = io.WriteString(c, tc.body)
+		must.NoError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		must.NoError(t, err, must.Sprint(tc.head))
+		must.Eq(t, strings.Contains(tc.head, "1.1"), len(resp.TransferEncoding) > 0)
+		b, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.Eq(t, tc.want, string(b))
+		_, err = br.ReadByte()
+		must.Eq(t, io.EOF, err)
+	}
+}
