Send hand-over records in parts, and require an issue time with a key

Cause: a range with more than about 5,100 at-most-once records exceeded the 256 KiB bound of a control message, so that it could never move. And a resend older than its record, without an issue time or with one from a caller's clock that runs ahead, would have run a second time. Change: records travel in parts of 2,000 and the last part begins the new owner's knowledge; a non-idempotent request with an idempotency key needs an issue time that is not in the future by more than 1 s.

--- a/frontend/parse.go
+++ b/frontend/parse.go
@@ -168,10 +168,22 @@
 	}
 }
 
+// maxSkew bounds how far the clocks of a caller and a node may differ.
+const maxSkew = time.Second
+
+// times reads the deadline and the issue time. Records of non-idempotent
+// requests are kept for a while and move between owners; only a trustworthy
+// issue time tells a first attempt from a resend that is older than the record.
 func (p *parser) times(now time.Time) {
 	if ms, ok := p.number(HeaderIssuedAt, 1<<52); ok {
 		p.req.IssuedAt = time.UnixMilli(ms)
 	}
+	if p.req.IssuedAt.After(now.Add(maxSkew)) {
+		p.fail("in the future: " + HeaderIssuedAt)
+	}
+	if !p.req.Idempotent && p.req.IdempotencyKey != "" && p.req.IssuedAt.IsZero() {
+		p.fail("missing beside " + HeaderIdempotencyKey + ": " + HeaderIssuedAt)
+	}
 	if ms, ok := p.number(HeaderDeadline, maxDeadline.Milliseconds()); ok {
 		p.req.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
--- a/frontend/parse_test.go
+++ b/frontend/parse_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -60,6 +61,8 @@
 		"idem key":   head("GET", HeaderIdempotencyKey, strings.Repeat("i", maxIdempotencyKey+1)),
 		"id":         head("GET", HeaderRequestID, "a b"),
 		"issued":     head("GET", HeaderIssuedAt, "yesterday"),
+		"future":     head("GET", HeaderIssuedAt, strconv.FormatInt(time.Now().Add(time.Minute).UnixMilli(), 10)),
+		"no issue":   head("POST", HeaderIdempotencyKey, "ik"),
 		"deadline 0": head("GET", HeaderDeadline, "0"),
 		"deadline -": head("GET", HeaderDeadline, "-5"),
 		"deadline +": head("GET", HeaderDeadline, "+5"),
--- a/node/calls.go
+++ b/node/calls.go
@@ -7,6 +7,7 @@
 	"marjoramshore.example/control"
 	"marjoramshore.example/core"
 	"marjoramshore.example/groupwire"
+	"marjoramshore.example/once"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/store"
 	"marjoramshore.example/transport"
@@ -82,17 +83,37 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := groupwire.EncodeTransfer(h.Range, t)
-	if err == nil {
-		_, err = n.peers.Call(ctx, h.To.Address, callHandOver, b)
-	}
-	if err != nil {
+	if err := n.sendRecords(ctx, h, t); err != nil {
 		n.owner.Restore(t)
 		return nil, err
 	}
 	return keep, nil
 }
 
+// recordsPerCall bounds one part of a transfer. A record takes 51 bytes on the
+// wire, and a control message at most 256 KiB.
+const recordsPerCall = 2000
+
+// sendRecords sends a transfer in parts. The last one holds the horizons, with
+// which the next owner's knowledge of the range begins.
+func (n *Node) sendRecords(ctx context.Context, h ownership.HandOver, t once.Transfer) error {
+	for {
+		part := once.Transfer{Records: t.Records[:min(recordsPerCall, len(t.Records))]}
+		t.Records = t.Records[len(part.Records):]
+		last := len(t.Records) == 0
+		if last {
+			part.Pieces = t.Pieces
+		}
+		b, err := groupwire.EncodeTransfer(h.Range, part)
+		if err != nil {
+			return err
+		}
+		if _, err := n.peers.Call(ctx, h.To.Address, callHandOver, b); err != nil || last {
+			return err
+		}
+	}
+}
+
 // fetcher gets tables for the entrance: from a member of the group, and from
 // the store when no member answers.
 type fetcher struct{ n *Node }
--- a/owner/knowledge.go
+++ b/owner/knowledge.go
@@ -96,9 +96,13 @@
 	k.imported = kept
 }
 
-// accept takes the records of a range that is about to be moved here.
+// accept takes the records of a range that is about to be moved here. A
+// transfer without pieces is a part of one whose last part is yet to come.
 func (k *knowledge) accept(wall time.Time, r core.Range, t once.Transfer) {
 	k.table.Import(wall, t)
+	if len(t.Pieces) == 0 {
+		return
+	}
 	k.forget(wall)
 	k.imported = append(k.imported, imported{rng: r, at: wall})
 }
