--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -80,7 +80,8 @@
 }
 
 // Guards against a second run of a request whose reused connection the server
-// closed after reading it. net/http's client would send each of these again.
+// closed after reading it. By its documentation net/http's Transport may send the
+// GET and the request with an idempotency key again.
 func TestReusedConnectionClosedIsNeverSentAgain(t *testing.T) {
 	key := post("")
 	key.IdempotencyKey = "abc"
