--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/owner"
+	"marjoramshore.example/ring"
+	"marjoramshore.example/telemetry"
+)
+
+// openMetrics registers the node's figures and listens for readers. Without an
+// address nothing is served.
+func (n *Node) openMetrics() error {
+	r := metrics.NewRegistry()
+	if err := n.registerMetrics(r); err != nil {
+		return err
+	}
+	if n.cfg.MetricsListen == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", n.cfg.MetricsListen)
+	if err != nil {
+		return core.Wrap(core.CodeUnavailable, err, "metrics listener")
+	}
+	n.metrics = telemetry.NewMetricsServer(ln, r)
+	return nil
+}
+
+func (n *Node) registerMetrics(r metrics.Registry) error {
+	rings := map[string]func() ring.Stats{
+		"tables": n.tables.Stats, "configuration": n.config.Stats, "store": n.store.Ring,
+		"journal": n.journal.in.Stats, "burn": n.burn.in.Stats, "group_messages": n.sender.out.Stats,
+		"datagrams": n.socket.In().Stats, "offers": n.owner.OfferRing, "owner_control": n.owner.ControlRing,
+		"health_changes": n.ejection.in.Stats,
+	}
+	for name, stats := range rings {
+		if err := telemetry.RegisterRing(r, name, stats); err != nil {
+			return err
+		}
+	}
+	gauges := map[string]func() int64{
+		"caller_exchanges":           func() int64 { return int64(n.frontend.Stats().Exchanges) },
+		"caller_exchanges_running":   func() int64 { return n.frontend.Stats().Running },
+		"caller_connections":         func() int64 { return n.frontend.Stats().Conns },
+		"caller_answers_cut":         func() int64 { return int64(n.frontend.Stats().Cut) },
+		"caller_answers_late":        func() int64 { return int64(n.frontend.Stats().LateAnswers) },
+		"router_requests":            func() int64 { return int64(n.router.Stats().Requests) },
+		"router_attempts":            func() int64 { return int64(n.router.Stats().Attempts) },
+		"router_waiting":             func() int64 { return n.router.Stats().Waiting },
+		"backend_requests_sent":      func() int64 { return int64(n.gate.Stats().Sent) },
+		"backend_answers_late":       func() int64 { return int64(n.gate.Stats().LateAnswers) },
+		"peer_exchanges":             func() int64 { return int64(n.server.Stats().Exchanges) },
+		"peer_unauthenticated":       func() int64 { return int64(n.server.Stats().Unauthenticated) },
+		"heartbeat_bytes_sent":       func() int64 { return int64(n.socket.Stats().SentBytes) },
+		"heartbeat_bytes_received":   func() int64 { return int64(n.socket.Stats().ReceivedBytes) },
+		"store_reads":                func() int64 { s := n.store.Stats(); return int64(s.Get + s.List + s.Watch) },
+		"store_writes":               func() int64 { s := n.store.Stats(); return int64(s.Put + s.Delete) },
+		"store_failed":               func() int64 { return int64(n.store.Stats().Failed) },
+		"configuration_revision":     func() int64 { return int64(n.config.Current().Revision) },
+		"lease_left_ms":              n.leaseLeft,
+		"ranges":                     n.ranges,
+		"owner_refused":              n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Refused) }),
+		"owner_duplicates":           n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Duplicates) }),
+		"owner_outcome_unknown":      n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Unknown) }),
+		"admission_limit":            n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Admission.Limit) }),
+		"admission_running":          n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Admission.RunningShort + s.Admission.RunningLong) }),
+		"admission_queued":           n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Admission.QueuedShort + s.Admission.QueuedLong) }),
+		"at_most_once_records":       n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Once.Records) }),
+		"at_most_once_evicted_early": n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Once.Evicted) }),
+		"backend_state":              n.ownerGauge(func(s owner.Stats) int64 { return int64(s.Health) }),
+	}
+	for name, value := range gauges {
+		if err := telemetry.RegisterGauge(r, name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// gaugeTimeout bounds one question to the owner's duty.
+const gaugeTimeout = 100 * time.Millisecond
+
+func (n *Node) ownerGauge(value func(owner.Stats) int64) func() int64 {
+	return func() int64 {
+		ctx, cancel := context.WithTimeout(context.Background(), gaugeTimeout)
+		defer cancel()
+		s, _ := n.owner.Stats(ctx)
+		return value(s)
+	}
+}
+
+func (n *Node) leaseLeft() int64 {
+	if s := n.Lease(); s != nil {
+		return max(0, s.LeaseEnd.Sub(n.clock.Now()).Milliseconds())
+	}
+	return 0
+}
+
+func (n *Node) ranges() int64 {
+	if s := n.Lease(); s != nil {
+		return int64(len(s.Own))
+	}
+	return 0
+}
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/routing"
 	"marjoramshore.example/store"
+	"marjoramshore.example/telemetry"
 	"marjoramshore.example/transport"
 	"marjoramshore.example/transport/datagram"
 )
@@ -63,7 +64,9 @@
 	// declaredDrain is set while operators drain this node.
 	declaredDrain atomic.Bool
 	// operators is nil when the node has no operator address.
-	operators    *operator.Server
+	operators *operator.Server
+	// metrics is nil when the node has no metrics address.
+	metrics      *telemetry.MetricsServer
 	operatorAddr string
 	// lease is nil until the backend server has announced itself.
 	lease atomic.Pointer[lease.Duty]
@@ -90,7 +93,7 @@
 	n.log = n.log.WithField("self", cfg.Node)
 	n.journal, n.ejection, n.burn = newEventDuty(), newEjection(n), newBurnDuty(n.clock)
 	n.damper = membership.NewDamper(membership.DefaultDamping())
-	steps := []func() error{n.openStore, n.openPeers, n.openOwner, n.openEntrance, n.openConfig, n.openOperators}
+	steps := []func() error{n.openStore, n.openPeers, n.openOwner, n.openEntrance, n.openConfig, n.openOperators, n.openMetrics}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			n.abort()
@@ -223,6 +226,9 @@
 	if n.operators != nil {
 		n.run(func() { _ = n.operators.Serve() })
 	}
+	if n.metrics != nil {
+		n.run(func() { _ = n.metrics.Serve() })
+	}
 	n.run(func() { n.followBackend(ctx) })
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -66,10 +66,13 @@
 
 // Kill closes everything at once, as a lost VM does.
 func (n *Node) Kill() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
 	if n.operators != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		_ = n.operators.Shutdown(ctx)
-		cancel()
+	}
+	if n.metrics != nil {
+		_ = n.metrics.Shutdown(ctx)
 	}
 	_ = n.frontend.Close()
 	_ = n.server.Close()
--- a/owner/control.go
+++ b/owner/control.go
@@ -111,10 +111,16 @@
 		return Stats{Admission: d.policy.Stats(), Once: d.knowledge.table.Stats(), Health: state, HealthReason: reason,
 			Refused: d.counts.refused, Duplicates: d.counts.duplicates, Unknown: d.counts.unknown}
 	})
-	s.Offers, s.Controls, s.Moving = o.offers.Stats(), o.control.Stats(), o.moving.Load()
+	s.Moving = o.moving.Load()
 	return s, ok
 }
 
+// OfferRing returns the counters of the ring of new requests.
+func (o *Owner) OfferRing() ring.Stats { return o.offers.Stats() }
+
+// ControlRing returns the counters of the ring of ends and control messages.
+func (o *Owner) ControlRing() ring.Stats { return o.control.Stats() }
+
 // ask runs f on the duty's goroutine and returns its result, or false when ctx
 // ends first.
 func ask[T any](ctx context.Context, o *Owner, f func(*duty) T) (T, bool) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -57,7 +57,6 @@
 	Health                       health.State
 	HealthReason                 health.Reason
 	Refused, Duplicates, Unknown uint64
-	Offers, Controls             ring.Stats
 	Moving                       int64
 }
 
