--- a/burn/customers.go
+++ b/burn/customers.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxCustomers bounds the customers counted one by one for each service
-	// and kind of work. Each takes 100 bytes.
+	// and kind of work. Each takes about 150 bytes and its name.
 	maxCustomers = 512
 	// customerHalf is half the window of the per-customer counts. The older
 	// half is dropped when the newer is full.
--- a/burn/meter.go
+++ b/burn/meter.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxSeries bounds the services and kinds of work that a node counts. A
-	// series with full lists takes about 150 KB.
+	// series with full lists takes about 100 KB.
 	maxSeries = 64
 	// topRoom is the number of names tracked for each list of spenders.
 	topRoom = 128
--- a/placement/sketch.go
+++ b/placement/sketch.go
@@ -34,7 +34,7 @@
 
 // Sketch measures the load that one node sees: a histogram over the span of
 // its group, and the space-saving algorithm over single hashes. Both decay
-// exponentially. Memory is fixed at about 50 KB. It is not safe for concurrent
+// exponentially. Memory is fixed at about 40 KB. It is not safe for concurrent
 // use; the placement duty owns it.
 type Sketch struct {
 	span  core.Range
