Keep a group alive when a successor is stopped during a store outage

Cause: the capacity measurements showed a planned stop of a successor during an outage take its whole group down. Replacing it left a write unresolved, which ended the authority that rests on promises; and the stopping node exited before its group could do without its promise. Change: a draining successor is replaced only while the store answers, a leaving one stays (reason leaving) until it was replaced, and the last member of a group leaves without a confirmation.

--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -185,6 +185,11 @@
 	if !r.Draining {
 		i.accepted = false
 	}
+	if r.Leaving && slices.Contains(n.rec.Successors, i.run) && !n.storeReady() {
+		// Its promise is needed until the store can name another successor.
+		n.send(i.member, n.renew(i, r))
+		return
+	}
 	if r.Leaving {
 		n.memberLeaves(i)
 		a := n.answer(r, RefusedClaimNeeded)
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -68,8 +68,10 @@
 func (n *Node) reason() Reason {
 	m := &n.m
 	switch {
-	case m.left || n.leaving():
+	case m.left || n.leaving() && n.alone():
 		return ReasonLeft
+	case n.leaving():
+		return ReasonLeaving
 	case m.stopping && n.now >= m.drainAt.Add(n.t.Stop),
 		m.draining && m.accepted && n.now >= m.acceptAt.Add(n.t.Stop):
 		return ReasonDraining
@@ -79,6 +81,10 @@
 	return ReasonServing
 }
 
+// alone reports whether this node coordinates a group without other members,
+// so that nobody is left to confirm that it leaves.
+func (n *Node) alone() bool { return n.c != nil && len(n.c.infos) <= 1 }
+
 // leaving reports whether the node has stopped serving for good.
 func (n *Node) leaving() bool {
 	m := &n.m
--- a/ownership/node.go
+++ b/ownership/node.go
@@ -296,7 +296,7 @@
 	if n.c != nil {
 		s.Coordinates, s.Authority, s.Unwritten = true, n.authorityEnd(), n.c.unwritten
 	}
-	if s.Reason != ReasonDraining && s.Reason != ReasonLeft {
+	if !s.Reason.stopped() {
 		s.Own, s.Moving = n.own()
 	}
 	return s
--- /dev/null
+++ b/ownership/outage_test.go
@@ -0,0 +1,42 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestStopInOutage guards against a planned stop that takes the whole group
+// down: replacing a stopping successor while the store was out left a write
+// unresolved, which ended the coordinator's authority. The stopping node stays
+// for its promise until the store can name another successor.
+func TestStopInOutage(t *testing.T) {
+	for which := range 2 {
+		s := healthy(t, 1, 5, 4)
+		s.store.mode = storeDown
+		s.run(2 * time.Second)
+		n := s.successor(which)
+		others := s.pointsOf(n, false)
+		s.input(n, Drain{Stop: true})
+		s.input(n, ExchangesDrained{})
+		_, longest := s.outage(others, 30*time.Second, 100*time.Millisecond)
+		must.Eq(t, time.Duration(0), longest, must.Sprint("other members' keys were unavailable"))
+		must.Eq(t, ReasonLeaving, n.node.Snapshot().Reason)
+		s.store.mode = storeUp
+		s.run(30 * time.Second)
+		must.Eq(t, "", s.fault)
+		must.Eq(t, ReasonLeft, n.node.Snapshot().Reason)
+		must.Eq(t, 0, s.unserved())
+	}
+}
+
+// TestStopOfTheLastMember guards against a node that waits for ever for
+// somebody to confirm that it left.
+func TestStopOfTheLastMember(t *testing.T) {
+	s := healthy(t, 1, 1, 1)
+	s.input(s.nodes[0], Drain{Stop: true})
+	s.input(s.nodes[0], ExchangesDrained{})
+	s.run(5 * time.Second)
+	must.Eq(t, ReasonLeft, s.nodes[0].node.Snapshot().Reason)
+}
--- a/ownership/promises.go
+++ b/ownership/promises.go
@@ -305,7 +305,10 @@
 // successorLost reports whether a named successor should be replaced.
 func (n *Node) successorLost(r Run) bool {
 	i := n.c.info(r)
-	if i == nil || i.fenced || i.accepted {
+	// A draining successor is replaced, but not while the store is out: the
+	// unresolved write would end the authority that rests on promises, and
+	// with it the leases of the whole group.
+	if i == nil || i.fenced || i.accepted && n.storeReady() {
 		return true
 	}
 	p := n.c.promise(r)
--- a/ownership/sim_test.go
+++ b/ownership/sim_test.go
@@ -344,7 +344,7 @@
 	if prev == nil || n.local(s.now) >= prev.LeaseEnd || prev.Coordinates || next.Coordinates {
 		return
 	}
-	if next.Reason == ReasonDraining || next.Reason == ReasonLeft {
+	if next.Reason.stopped() {
 		return
 	}
 	for _, h := range prev.Own {
--- a/ownership/snapshot.go
+++ b/ownership/snapshot.go
@@ -16,9 +16,17 @@
 	ReasonServing  Reason = "serving"
 	ReasonNoLease  Reason = "no-lease"
 	ReasonDraining Reason = "draining"
-	ReasonLeft     Reason = "left"
+	// ReasonLeaving: the node serves nothing any more, but its group still
+	// needs it, for example for its promise as a successor.
+	ReasonLeaving Reason = "leaving"
+	ReasonLeft    Reason = "left"
 )
 
+// stopped reports whether the node admits nothing for good.
+func (r Reason) stopped() bool {
+	return r == ReasonDraining || r == ReasonLeaving || r == ReasonLeft
+}
+
 // Snapshot is what the gate and the router read. It is immutable.
 type Snapshot struct {
 	Group core.GroupID
@@ -50,7 +58,7 @@
 // Check decides whether the node may forward a request for h at now. A zero
 // code permits it, under the returned token and until LeaseEnd.
 func (s *Snapshot) Check(now clock.Instant, h core.Hash) (core.Token, core.Code) {
-	if s.Reason == ReasonDraining || s.Reason == ReasonLeft {
+	if s.Reason.stopped() {
 		return core.Token{}, core.CodeDraining
 	}
 	i := sort.Search(len(s.Own), func(i int) bool { return s.Own[i].Range.Hi >= h })
