--- a/node/calls.go
+++ b/node/calls.go
@@ -29,6 +29,7 @@
 		callEject:              n.answerEject,
 		callMarks:              n.receiveMarks,
 		callBurn:               n.answerBurn,
+		callLoad:               n.receiveLoad,
 		control.MethodRevision: func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ReportRevision(ctx, b) },
 		control.MethodExplain:  func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ExplainOwned(ctx, b) },
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -9,6 +9,7 @@
 	"marjoramshore.example/core"
 	"marjoramshore.example/once"
 	"marjoramshore.example/ownership"
+	"marjoramshore.example/placement"
 	"marjoramshore.example/store"
 )
 
@@ -37,6 +38,7 @@
 	Timing    ownership.Timing
 	Admission admission.Config
 	Once      once.Config
+	Planner   placement.Config
 	// MaxWaiting bounds the requests that wait for an owner.
 	MaxWaiting int
 	// MaxConns bounds callers' connections.
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/panjf2000/ants/v2"
 
+	"marjoramshore.example/balance"
 	"marjoramshore.example/clock"
 	"marjoramshore.example/configsync"
 	"marjoramshore.example/control"
@@ -53,6 +54,7 @@
 	weights  atomic.Pointer[weights]
 	journal  *eventDuty
 	burn     *burnDuty
+	balance  *balance.Duty
 	damper   *membership.Damper // owned by the lease duty
 	number   atomic.Uint32      // of the group, set before the lease duty starts
 	groups   uint32             // of the service, likewise
@@ -93,7 +95,7 @@
 	n.log = n.log.WithField("self", cfg.Node)
 	n.journal, n.ejection, n.burn = newEventDuty(), newEjection(n), newBurnDuty(n.clock)
 	n.damper = membership.NewDamper(membership.DefaultDamping())
-	steps := []func() error{n.openStore, n.openPeers, n.openOwner, n.openEntrance, n.openConfig, n.openOperators, n.openMetrics}
+	steps := []func() error{n.openStore, n.openPeers, n.openBalance, n.openOwner, n.openEntrance, n.openConfig, n.openOperators, n.openMetrics}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			n.abort()
@@ -183,7 +185,7 @@
 		Quarantined: n.quarantined, Marked: n.passMarks, HealthChanged: n.healthChanged, ProbeNow: n.askProbe,
 	})
 	n.router = entrance.NewRouter(entrance.Config{
-		Self: n.self, Tables: n.tables, Peers: n.peers, Local: n.owner,
+		Self: n.self, Tables: n.tables, Peers: n.peers, Local: core.HandlerFunc(n.serveOwned),
 		Clock: n.clock, MaxWaiting: n.cfg.MaxWaiting,
 	})
 	return nil
@@ -211,6 +213,7 @@
 	n.run(func() { n.sender.run(ctx) })
 	n.run(func() { n.receive(ctx) })
 	n.run(func() { n.burn.run(ctx) })
+	n.run(func() { n.balance.Run(ctx) })
 	n.run(func() { n.tables.Run(ctx) })
 	n.run(func() { n.owner.Run(ctx) })
 	n.run(func() { n.config.Run(ctx) })
@@ -280,9 +283,13 @@
 	return n.burn.track(req, resp, start), nil
 }
 
-// serveOwned serves exchanges of other nodes, which only come to the owner.
+// serveOwned serves a request at the owner and counts the load of its key.
 func (n *Node) serveOwned(ctx context.Context, req *core.Request) (*core.Response, error) {
-	return n.owner.Serve(ctx, req)
+	resp, err := n.owner.Serve(ctx, req)
+	if err == nil {
+		n.balance.Record(req.Hash(), 1)
+	}
+	return resp, err
 }
 
 // permit reads the lease at the last instant before the backend server is
