Use every setting, and keep services to their region

Change: bodies bounds uploads to other nodes, probes is gone, only services of the own region are routed, each event type has its message; the store is polled every 3 s, so that a silently dropped watch is noticed within the 8 s of a change.

--- a/node/config.go
+++ b/node/config.go
@@ -58,6 +58,8 @@
 	ReadToken, ChangeToken string
 	// OperatorBytes bounds the body of an operator's request.
 	OperatorBytes int
+	// Bodies bounds the request bodies that are sent to other nodes at once.
+	Bodies int
 	// ProbeInterval is the time between probes of the backend server.
 	ProbeInterval time.Duration
 }
--- a/node/declared.go
+++ b/node/declared.go
@@ -42,10 +42,13 @@
 func (n *Node) applyConfig(ctx context.Context, c intent.Config) error {
 	before := n.config.Current().Declaration
 	for _, s := range c.Declaration.Services {
-		n.tables.SetSpans(s.Name, spans(uint32(s.Groups)))
+		if s.Region == n.cfg.Region {
+			n.tables.SetSpans(s.Name, spans(uint32(s.Groups)))
+		}
 	}
 	for _, s := range before.Services {
-		if _, still := c.Declaration.Service(s.Name); !still && s.Name != n.cfg.Service {
+		now, still := c.Declaration.Service(s.Name)
+		if (!still || now.Region != n.cfg.Region) && s.Name != n.cfg.Service {
 			n.tables.Forget(s.Name)
 		}
 	}
--- a/node/events.go
+++ b/node/events.go
@@ -52,12 +52,12 @@
 // record journals and logs one event.
 func (n *Node) record(e journal.Event) {
 	e.At, e.Service, e.Node = time.Now(), n.cfg.Service, or2(e.Node, n.cfg.Node)
-	f := fields{"type": e.Type, "cause": e.Cause, "node": e.Node, "term": e.Term, "revision": e.Revision}
+	f := fields{"cause": e.Cause, "node": e.Node, "term": e.Term, "revision": e.Revision}
 	if e.Range != nil {
 		f["range"] = rangeText(*e.Range)
 	}
 	if e.Type != journal.RefusalBurst {
-		n.log.WithFields(f).Info("event")
+		n.log.WithFields(f).Info(string(e.Type))
 	}
 	_ = n.journal.in.Push(context.Background(), eventMessage{event: e})
 }
--- a/node/fromsettings.go
+++ b/node/fromsettings.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"marjoramshore.example/admission"
 	"marjoramshore.example/once"
 	"marjoramshore.example/ownership"
@@ -9,9 +11,14 @@
 	"marjoramshore.example/storehttp"
 )
 
+// watchWait is the length of one long poll. A connection that the network
+// dropped silently is noticed after it and a call's timeout, and a change must
+// be in force everywhere within 8 s of its acceptance.
+const watchWait = 3 * time.Second
+
 // FromSettings returns the configuration that a settings file describes.
 func FromSettings(s settings.Settings) (Config, error) {
-	client, err := storehttp.New(storehttp.Config{BaseURL: s.Store.URL, Timeout: s.Store.Timeout})
+	client, err := storehttp.New(storehttp.Config{BaseURL: s.Store.URL, Timeout: s.Store.Timeout, WatchWait: watchWait})
 	if err != nil {
 		return Config{}, err
 	}
@@ -36,5 +43,6 @@
 		MaxWaiting:  s.Limits.WaitingRequests,
 		MaxConns:    s.Limits.Connections,
 		HeaderBytes: s.Limits.HeaderBytes,
+		Bodies:      s.Pools.Bodies,
 	}, nil
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -61,8 +61,7 @@
 
 	integer("pools.store_calls", 4, 1, 64, "Store calls at once.", func(s *Settings) *int { return &s.Pools.StoreCalls }),
 	integer("pools.store_watches", 16, 1, 256, "Watched store keys.", func(s *Settings) *int { return &s.Pools.StoreWatches }),
-	integer("pools.bodies", 512, 1, 8192, "Bodies copied at once.", func(s *Settings) *int { return &s.Pools.Bodies }),
-	integer("pools.probes", 2, 1, 64, "Probes of the backend server at once.", func(s *Settings) *int { return &s.Pools.Probes }),
+	integer("pools.bodies", 512, 1, 8192, "Request bodies sent to other nodes at once.", func(s *Settings) *int { return &s.Pools.Bodies }),
 
 	level("log_level", "Least severe level that is logged."),
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,4 +72,4 @@
 type Timing struct{ Heartbeat, Promise, Lease, Term time.Duration }
 
 // Pools holds the sizes of the worker pools.
-type Pools struct{ StoreCalls, StoreWatches, Bodies, Probes int }
+type Pools struct{ StoreCalls, StoreWatches, Bodies int }
