Remove the table call of the peer protocol

Cause: tables travel as control messages in the encoding of groupwire, so that the peer protocol described them a second time for nobody.

--- a/transport/client.go
+++ b/transport/client.go
@@ -50,7 +50,7 @@
 	Uploading int
 }
 
-// Client sends exchanges, table requests and calls to peers by address.
+// Client sends exchanges and calls to peers by address.
 type Client struct {
 	auth    *Authenticator
 	http    *http.Transport
@@ -126,16 +126,6 @@
 	return c.http.RoundTrip(out)
 }
 
-// FetchTable asks the peer at addr for a table.
-func (c *Client) FetchTable(ctx context.Context, addr string, req *peerv1.FetchTableRequest) (*peerv1.FetchTableResponse, error) {
-	a := &attempt{addr: addr}
-	resp, err := c.rpc.FetchTable(context.WithValue(ctx, attemptKey{}, a), connect.NewRequest(req))
-	if err != nil {
-		return nil, classify(ctx, a, err)
-	}
-	return resp.Msg, nil
-}
-
 // Call sends one control message to the peer at addr.
 func (c *Client) Call(ctx context.Context, addr, method string, payload []byte) ([]byte, error) {
 	a := &attempt{addr: addr}
--- a/transport/handler.go
+++ b/transport/handler.go
@@ -99,18 +99,6 @@
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
-// FetchTable implements peerv1connect.PeerHandler.
-func (h *peerHandler) FetchTable(ctx context.Context, req *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error) {
-	if h.s.cfg.FetchTable == nil {
-		return nil, failCall(core.Fail(core.CodeNotFound, "no tables here"))
-	}
-	resp, err := h.s.cfg.FetchTable(ctx, req.Msg)
-	if err != nil {
-		return nil, failCall(err)
-	}
-	return connect.NewResponse(resp), nil
-}
-
 // Call implements peerv1connect.PeerHandler.
 func (h *peerHandler) Call(ctx context.Context, req *connect.Request[peerv1.CallRequest]) (*connect.Response[peerv1.CallResponse], error) {
 	f, ok := h.s.cfg.Calls[req.Msg.GetMethod()]
--- a/transport/peerv1/peerv1connect/peer.connect.go
+++ b/transport/peerv1/peerv1connect/peer.connect.go
@@ -38,8 +38,6 @@
 	PeerExchangeProcedure = "/marjoramshore.peer.v1.Peer/Exchange"
 	// PeerExchangeWholeProcedure is the fully-qualified name of the Peer's ExchangeWhole RPC.
 	PeerExchangeWholeProcedure = "/marjoramshore.peer.v1.Peer/ExchangeWhole"
-	// PeerFetchTableProcedure is the fully-qualified name of the Peer's FetchTable RPC.
-	PeerFetchTableProcedure = "/marjoramshore.peer.v1.Peer/FetchTable"
 	// PeerCallProcedure is the fully-qualified name of the Peer's Call RPC.
 	PeerCallProcedure = "/marjoramshore.peer.v1.Peer/Call"
 )
@@ -53,9 +51,6 @@
 	// ExchangeWhole is Exchange for a request that fits in one frame, which holds
 	// the head, all data and the end.
 	ExchangeWhole(context.Context, *connect.Request[peerv1.ExchangeFrame]) (*connect.ServerStreamForClient[peerv1.ExchangeFrame], error)
-	// FetchTable returns the routing table of a group, or the changes since the
-	// version that the caller holds.
-	FetchTable(context.Context, *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error)
 	// Call carries one small control message whose payload is defined by its
 	// method; the registered handler decodes it.
 	Call(context.Context, *connect.Request[peerv1.CallRequest]) (*connect.Response[peerv1.CallResponse], error)
@@ -84,12 +79,6 @@
 			connect.WithSchema(peerMethods.ByName("ExchangeWhole")),
 			connect.WithClientOptions(opts...),
 		),
-		fetchTable: connect.NewClient[peerv1.FetchTableRequest, peerv1.FetchTableResponse](
-			httpClient,
-			baseURL+PeerFetchTableProcedure,
-			connect.WithSchema(peerMethods.ByName("FetchTable")),
-			connect.WithClientOptions(opts...),
-		),
 		call: connect.NewClient[peerv1.CallRequest, peerv1.CallResponse](
 			httpClient,
 			baseURL+PeerCallProcedure,
@@ -103,7 +92,6 @@
 type peerClient struct {
 	exchange      *connect.Client[peerv1.ExchangeFrame, peerv1.ExchangeFrame]
 	exchangeWhole *connect.Client[peerv1.ExchangeFrame, peerv1.ExchangeFrame]
-	fetchTable    *connect.Client[peerv1.FetchTableRequest, peerv1.FetchTableResponse]
 	call          *connect.Client[peerv1.CallRequest, peerv1.CallResponse]
 }
 
@@ -117,11 +105,6 @@
 	return c.exchangeWhole.CallServerStream(ctx, req)
 }
 
-// FetchTable calls marjoramshore.peer.v1.Peer.FetchTable.
-func (c *peerClient) FetchTable(ctx context.Context, req *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error) {
-	return c.fetchTable.CallUnary(ctx, req)
-}
-
 // Call calls marjoramshore.peer.v1.Peer.Call.
 func (c *peerClient) Call(ctx context.Context, req *connect.Request[peerv1.CallRequest]) (*connect.Response[peerv1.CallResponse], error) {
 	return c.call.CallUnary(ctx, req)
@@ -136,9 +119,6 @@
 	// ExchangeWhole is Exchange for a request that fits in one frame, which holds
 	// the head, all data and the end.
 	ExchangeWhole(context.Context, *connect.Request[peerv1.ExchangeFrame], *connect.ServerStream[peerv1.ExchangeFrame]) error
-	// FetchTable returns the routing table of a group, or the changes since the
-	// version that the caller holds.
-	FetchTable(context.Context, *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error)
 	// Call carries one small control message whose payload is defined by its
 	// method; the registered handler decodes it.
 	Call(context.Context, *connect.Request[peerv1.CallRequest]) (*connect.Response[peerv1.CallResponse], error)
@@ -163,12 +143,6 @@
 		connect.WithSchema(peerMethods.ByName("ExchangeWhole")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerFetchTableHandler := connect.NewUnaryHandler(
-		PeerFetchTableProcedure,
-		svc.FetchTable,
-		connect.WithSchema(peerMethods.ByName("FetchTable")),
-		connect.WithHandlerOptions(opts...),
-	)
 	peerCallHandler := connect.NewUnaryHandler(
 		PeerCallProcedure,
 		svc.Call,
@@ -181,8 +155,6 @@
 			peerExchangeHandler.ServeHTTP(w, r)
 		case PeerExchangeWholeProcedure:
 			peerExchangeWholeHandler.ServeHTTP(w, r)
-		case PeerFetchTableProcedure:
-			peerFetchTableHandler.ServeHTTP(w, r)
 		case PeerCallProcedure:
 			peerCallHandler.ServeHTTP(w, r)
 		default:
@@ -202,10 +174,6 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("marjoramshore.peer.v1.Peer.ExchangeWhole is not implemented"))
 }
 
-func (UnimplementedPeerHandler) FetchTable(context.Context, *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marjoramshore.peer.v1.Peer.FetchTable is not implemented"))
-}
-
 func (UnimplementedPeerHandler) Call(context.Context, *connect.Request[peerv1.CallRequest]) (*connect.Response[peerv1.CallResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marjoramshore.peer.v1.Peer.Call is not implemented"))
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -11,16 +11,12 @@
 
 	"connectrpc.com/connect"
 	"marjoramshore.example/core"
-	"marjoramshore.example/transport/peerv1"
 	"marjoramshore.example/transport/peerv1/peerv1connect"
 )
 
 // CallFunc answers one control message of a peer.
 type CallFunc func(ctx context.Context, payload []byte) ([]byte, error)
 
-// TableFunc answers a peer that asks for the table of a group.
-type TableFunc func(ctx context.Context, req *peerv1.FetchTableRequest) (*peerv1.FetchTableResponse, error)
-
 // ServerConfig sets up a Server. Zero limits take the defaults given with each
 // field.
 type ServerConfig struct {
@@ -28,8 +24,6 @@
 	Addr string
 	// Handler serves exchanges.
 	Handler core.Handler
-	// FetchTable serves tables; nil answers not found.
-	FetchTable TableFunc
 	// Calls holds the control methods by name. It must not change afterwards.
 	Calls map[string]CallFunc
 	// Auth checks peers. It is required.
@@ -70,7 +64,7 @@
 	Running int64
 }
 
-// Server accepts the exchanges, table requests and calls of peers.
+// Server accepts the exchanges and calls of peers.
 type Server struct {
 	cfg     ServerConfig
 	http    *http.Server
