--- /dev/null
+++ b/node/faults_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/standin/backend"
+)
+
+// keysOf returns keys that the node serves now.
+func (f *fleet) keysOf(n *Node, count int) []string {
+	f.t.Helper()
+	var keys []string
+	for k := 0; len(keys) < count && k < 10_000; k++ {
+		key := fmt.Sprintf("key-%d", k)
+		if _, code := n.Lease().Check(n.clock.Now(), core.HashKey(key)); code == 0 {
+			keys = append(keys, key)
+		}
+	}
+	must.SliceLen(f.t, count, keys)
+	return keys
+}
+
+// ordinary returns the positions of the members that are neither coordinator
+// nor successor.
+func (f *fleet) ordinary() []int {
+	var out []int
+	for i, n := range f.nodes {
+		s := n.Lease()
+		special := s.Coordinates
+		for _, r := range s.Successors {
+			special = special || r.Node == n.self.Node
+		}
+		if !special {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// lose kills a node together with its backend server.
+func (f *fleet) lose(i int) {
+	n := f.nodes[i]
+	f.nodes[i] = nil
+	n.Kill()
+	f.backends[i].Crash()
+}
+
+// runsOfKey adds up the runs of an idempotency key at all backend servers.
+func (f *fleet) runsOfKey(idem string) (sum backend.Run) {
+	for _, b := range f.backends {
+		r := b.RunOfIdempotencyKey("farmer-1", idem)
+		sum.Started, sum.Completed = sum.Started+r.Started, sum.Completed+r.Completed
+	}
+	return sum
+}
+
+// served waits until a lookup of every key is answered through the node.
+func (f *fleet) served(limit time.Duration, n *Node, keys []string) {
+	f.t.Helper()
+	for _, key := range keys {
+		f.await(limit, key+" is served", func() bool {
+			a, err := f.ask(f.t.Context(), n, http.MethodGet, "/short/price", key, "Marjoram-Deadline-Ms", "300")
+			return err == nil && a.outcome == "answered" && a.status == http.StatusOK
+		})
+	}
+}
+
+// Guards against a second run of non-idempotent work that is resent through
+// other nodes while its owner is lost, and against an answer without a run.
+func TestAtMostOnceAcrossLostOwner(t *testing.T) {
+	f := newFleet(t, 4)
+	victim := f.ordinary()[0]
+	entrances := append(append([]*Node{}, f.nodes[:victim]...), f.nodes[victim+1:]...)
+	keys := append(f.keysOf(f.nodes[victim], 10), f.keysOf(entrances[0], 5)...)
+	const workers, each = 8, 60
+	var answered [workers * each]bool
+	submit := func(i int) {
+		issued := strconv.FormatInt(time.Now().UnixMilli(), 10)
+		for resend := range 4 {
+			a, err := f.ask(t.Context(), entrances[(i+resend)%len(entrances)], http.MethodPost, "/short/submit", keys[i%len(keys)],
+				"Marjoram-Idempotent", "false", "Idempotency-Key", "lost-"+strconv.Itoa(i), "Marjoram-Issued-At", issued,
+				"Marjoram-Deadline-Ms", "400")
+			answered[i] = answered[i] || err == nil && a.outcome == "answered" && a.status == http.StatusOK
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	var work sync.WaitGroup
+	for w := range workers {
+		work.Go(func() {
+			for i := w; i < workers*each && t.Context().Err() == nil; i += workers {
+				submit(i)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	f.lose(victim)
+	work.Wait()
+	count := 0
+	for i, ok := range answered {
+		runs := f.runsOfKey("lost-" + strconv.Itoa(i))
+		must.LessEq(t, 1, runs.Started, must.Sprintf("submission %d", i))
+		if ok {
+			count++
+			must.Eq(t, 1, runs.Completed, must.Sprintf("submission %d was answered", i))
+		}
+	}
+	for _, b := range f.backends {
+		must.Eq(t, 0, b.Stats().SecondRuns)
+	}
+	t.Logf("%d of %d submissions answered", count, len(answered))
+	must.Positive(t, count)
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -23,13 +23,20 @@
 	nodes    []*Node
 	backends []*backend.Server
 	caller   *http.Client
+	// configure changes the configuration of each node before it starts.
+	configure func(*Config)
 }
 
 const testService = "hintapalvelu"
 
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, platform: platform.New(1), caller: &http.Client{Timeout: 10 * time.Second}}
+	return newFleetWith(t, size, func(*Config) {})
+}
+
+func newFleetWith(t *testing.T, size int, configure func(*Config)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, platform: platform.New(1), caller: &http.Client{Timeout: 10 * time.Second}, configure: configure}
 	for i := range size {
 		b := backend.New(backend.Config{Service: testService, ChecksTokens: true, Seed: uint64(i)})
 		must.NoError(t, b.Start("127.0.0.1:0"))
@@ -50,12 +57,14 @@
 
 func (f *fleet) startNode(i int) *Node {
 	f.t.Helper()
-	n, err := New(Config{
+	cfg := Config{
 		Node: core.NodeID(fmt.Sprintf("hinta-%02d", i)), DataCentre: core.DataCentre(fmt.Sprintf("fi-south-%d", i%4)),
 		Service: testService, CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		BackendAddress: f.backends[i].Addr(), PeerKey: []byte("0123456789abcdef0123456789abcdef"),
 		Store: f.platform.View(), Services: map[core.Service]uint32{testService: 1},
-	})
+	}
+	f.configure(&cfg)
+	n, err := New(cfg)
 	must.NoError(f.t, err)
 	n.Start()
 	return n
