Test that refused requests did not run during a stop and a loss

No test compared the outcomes that callers were told with the runs at the backend servers while real nodes stop and fail. Requests with deadlines from 5 to 400 ms now run through a graceful stop and a kill; every request id with a not-run outcome must have no start.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -118,3 +119,62 @@
 	t.Logf("%d of %d submissions answered", count, len(answered))
 	must.Positive(t, count)
 }
+
+// Guards against an answer which says that a request did not run although it
+// did, while one node stops and another is lost.
+func TestRefusedDidNotRun(t *testing.T) {
+	f := newFleet(t, 5)
+	lost := f.ordinary()[0]
+	stopping := (lost + 1) % 5
+	var entrances []*Node
+	for i, n := range f.nodes {
+		if i != lost && i != stopping {
+			entrances = append(entrances, n)
+		}
+	}
+	keys := append(f.keysOf(f.nodes[lost], 6), f.keysOf(f.nodes[stopping], 6)...)
+	const workers = 8
+	var outcomes [workers]map[string]string // by request id
+	deadlines := []string{"5", "20", "100", "400"}
+	until := time.Now().Add(5 * time.Second)
+	var work sync.WaitGroup
+	for w := range workers {
+		outcomes[w] = map[string]string{}
+		work.Go(func() {
+			for i := 0; time.Now().Before(until) && i < 2000; i++ {
+				id := fmt.Sprintf("truth-%d-%d", w, i)
+				method := []string{http.MethodGet, http.MethodPost}[i%2]
+				a, err := f.ask(t.Context(), entrances[i%len(entrances)], method, "/short/price", keys[i%len(keys)],
+					"Marjoram-Request-Id", id, "Marjoram-Deadline-Ms", deadlines[(i/2)%len(deadlines)])
+				if err == nil {
+					outcomes[w][id] = a.outcome
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func(n *Node) { stopped <- n.Stop(ctx) }(f.nodes[stopping])
+	f.lose(lost)
+	work.Wait()
+	must.NoError(t, <-stopped)
+	f.nodes[stopping] = nil
+	counts := map[string]int{}
+	for _, m := range outcomes {
+		for id, outcome := range m {
+			counts[outcome]++
+			if outcome != "refused-not-run" && outcome != "deadline-passed-not-run" && outcome != "quarantined" {
+				continue
+			}
+			for _, b := range f.backends {
+				must.Eq(t, 0, b.RunOf(id).Started, must.Sprintf("%s was told %s", id, outcome))
+			}
+		}
+	}
+	t.Logf("outcomes: %v", counts)
+	must.Positive(t, counts["answered"])
+	must.Positive(t, counts["refused-not-run"]+counts["deadline-passed-not-run"])
+}
