Report an ejection that the end of an exchange causes

The owner's duty told the node of a change of health only when Monitor.Tick itself changed the state. Three refused connections in a row eject the backend server between two ticks, so the node was never told, and the keys of a crashed backend server stayed with it although every request was refused. The duty now compares the state with the one it told last.

--- a/owner/control.go
+++ b/owner/control.go
@@ -57,7 +57,7 @@
 func (o *Owner) Restarted() {
 	o.send(query{func(d *duty) {
 		d.monitor.Restarted(d.clock.Now())
-		d.cfg.HealthChanged(d.monitor.State())
+		d.reportHealth()
 	}})
 }
 
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -120,6 +120,7 @@
 	suspects  *suspect.Table
 	monitor   *health.Monitor
 	ticked    clock.Instant
+	toldState health.State
 	table     *core.Table
 
 	running map[*exchange]struct{} // bounded by the controller's pool
@@ -129,7 +130,7 @@
 }
 
 func newDuty(cfg Config) *duty {
-	return &duty{
+	d := &duty{
 		cfg: cfg, clock: cfg.Clock,
 		policy:    admission.New(cfg.Admission),
 		knowledge: knowledge{table: once.New(cfg.Once)},
@@ -137,6 +138,8 @@
 		monitor:   health.New(cfg.Clock.Now(), cfg.Health),
 		running:   map[*exchange]struct{}{},
 	}
+	d.toldState, _ = d.monitor.State()
+	return d
 }
 
 func (d *duty) run(ctx context.Context, offered *ring.Ring[*exchange], control *ring.Ring[message]) {
@@ -205,8 +208,17 @@
 	d.ticked = now
 	// The share of a warming or suspect server is for placement. Refusing its
 	// keys' requests would help nobody, because no other node may serve them.
-	if d.monitor.Tick(now) {
-		d.cfg.HealthChanged(d.monitor.State())
+	d.monitor.Tick(now)
+	d.reportHealth()
+}
+
+// reportHealth tells of a change of state. It compares with what was told last,
+// because the end of an exchange changes the state between two ticks as well.
+func (d *duty) reportHealth() {
+	state, reason := d.monitor.State()
+	if state != d.toldState {
+		d.toldState = state
+		d.cfg.HealthChanged(state, reason)
 	}
 }
 
