Mend what a trial of the operators' commands showed

Cause: lifting an automatic quarantine had no effect, drains of unknown nodes and malformed fingerprints were accepted, a drain that was not done looked accepted, other members' leases read 0 s, and keys with requests stuck in a frozen backend server stayed with it. Change: lift reaches every node, orders are checked, a refused drain is a conflict, status gathers lease and backend state, plans know requests in flight and say that constraints are not enforced, configuration events are journalled, marks go to the whole service, and a dead or frozen backend server keeps no keys.

--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
+	"strconv"
 	"time"
 
 	"marjoramshore.example/clock"
@@ -90,10 +92,16 @@
 	if err != nil {
 		return intent.Plan{}, err
 	}
-	p, err := intent.Make(base, want, c.state())
+	p, err := intent.Make(base, want, c.state(ctx))
 	if err != nil {
 		return intent.Plan{}, err
 	}
+	for _, s := range want.Services {
+		for _, x := range s.Constraints {
+			p.WontDo = append(p.WontDo, intent.Refusal{Service: s.Name, What: "enforce constraint " + x.Name,
+				Why: "constraints are recorded, but placement does not follow them yet"})
+		}
+	}
 	err = c.plans.Push(ctx, func(k *kept) {
 		if len(k.list) == keptPlans {
 			k.list = k.list[1:]
@@ -145,25 +153,57 @@
 // Drain implements operator.Backend. It plans and confirms in one step.
 func (c *Control) Drain(ctx context.Context, in operator.Drain, on bool) (operator.Accepted, error) {
 	return c.change(ctx, in.Who, func(base intent.Config) (intent.Plan, error) {
+		if err := c.checkDrain(base.Declaration, in, on); err != nil {
+			return intent.Plan{}, err
+		}
 		want, err := base.Declaration.WithDrain(in.Service, in.Node, on)
 		if err != nil {
 			return intent.Plan{}, err
 		}
-		return intent.Make(base, want, c.state())
+		p, err := intent.Make(base, want, c.state(ctx))
+		if err == nil && len(p.Changes) == 0 && len(p.WontDo) > 0 {
+			err = core.Fail(core.CodeConflict, p.WontDo[0].What+": "+p.WontDo[0].Why)
+		}
+		return p, err
 	})
 }
 
+// checkDrain refuses a drain of a node that is not known, and the end of a
+// drain that was not declared.
+func (c *Control) checkDrain(d intent.Declaration, in operator.Drain, on bool) error {
+	s, _ := d.Service(in.Service)
+	if !on && !slices.Contains(s.Drains, in.Node) {
+		return core.Fail(core.CodeNotFound, "node "+string(in.Node)+" is not being drained")
+	}
+	known := slices.ContainsFunc(c.MembersOf(in.Service), func(m core.Member) bool { return m.Node == in.Node })
+	if on && !known {
+		return core.Fail(core.CodeNotFound, "node "+string(in.Node)+" is not known in the service")
+	}
+	return nil
+}
+
 // Quarantine implements operator.Backend.
 func (c *Control) Quarantine(ctx context.Context, in operator.Quarantine) (operator.Accepted, error) {
+	if _, err := strconv.ParseUint(in.Fingerprint, 16, 64); err != nil {
+		return operator.Accepted{}, intent.Faults{{Field: "fingerprint", Limit: "must be up to 16 hexadecimal digits"}}
+	}
+	if in.Lift {
+		// Most quarantines were found by the nodes themselves and are not
+		// declared, so that each node is told.
+		c.Gather(ctx, MethodLift, []byte(in.Fingerprint))
+	}
 	return c.change(ctx, in.Who, func(base intent.Config) (intent.Plan, error) {
 		want, err := base.Declaration.WithQuarantine(in.Service, in.Fingerprint, !in.Lift)
 		if err != nil {
 			return intent.Plan{}, err
 		}
-		return intent.Make(base, want, c.state())
+		return intent.Make(base, want, c.state(ctx))
 	})
 }
 
+// MethodLift is the control method that ends a quarantine on one node.
+const MethodLift = "lift"
+
 // change confirms a plan against the newest configuration, writes it, and
 // waits for it to be in force. The write is conditional, so of two operators
 // at once one is refused with what the other changed.
@@ -244,7 +284,7 @@
 	ticker := time.NewTicker(inForcePoll)
 	defer ticker.Stop()
 	for {
-		waiting := intent.Waiting(c.revisions(ctx), want)
+		waiting := intent.Waiting(revisionsOf(c.reports(ctx)), want)
 		if len(waiting) == 0 {
 			return waiting
 		}
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -13,13 +13,17 @@
 	"marjoramshore.example/store"
 )
 
-// MethodRevision is the control method that returns a node's Report.
-const MethodRevision = "revision"
+// MethodReport is the control method that returns a node's Report.
+const MethodReport = "report"
 
-// Report is what a node says of its configuration.
+// Report is what a node says of itself.
 type Report struct {
 	Node     core.NodeID   `json:"node"`
 	Revision core.Revision `json:"revision"`
+	// LeaseMs is the time left of the lease.
+	LeaseMs  int64  `json:"lease_ms"`
+	Backend  string `json:"backend"` // state of the backend server
+	InFlight int    `json:"in_flight"`
 }
 
 // gatherers bounds concurrent calls to other nodes for one report.
@@ -33,11 +37,14 @@
 }
 
 // Members returns the nodes of all services that this node knows.
-func (c *Control) Members() []core.Member {
+func (c *Control) Members() []core.Member { return c.MembersOf(c.cfg.View().Services()...) }
+
+// MembersOf returns the known nodes of some services.
+func (c *Control) MembersOf(services ...core.Service) []core.Member {
 	seen := map[core.NodeID]bool{}
 	var out []core.Member
 	v := c.cfg.View()
-	for _, s := range v.Services() {
+	for _, s := range services {
 		for _, span := range v.Spans(s) {
 			t := v.Table(core.GroupID{Service: s, Number: span.Group})
 			if t == nil {
@@ -80,29 +87,47 @@
 	return out
 }
 
-// revisions asks the known nodes for the revision in force. A node that does
-// not answer counts as having none.
-func (c *Control) revisions(ctx context.Context) map[core.NodeID]core.Revision {
-	out := map[core.NodeID]core.Revision{c.cfg.Self.Node: c.cfg.Current().Revision}
-	for _, a := range c.Gather(ctx, MethodRevision, nil) {
-		var r Report
-		if a.Err == nil && json.Unmarshal(a.Payload, &r) == nil {
-			out[a.Member.Node] = r.Revision
-			continue
+// reports asks the known nodes for their reports. A node that does not answer
+// counts as having no revision.
+func (c *Control) reports(ctx context.Context) map[core.NodeID]Report {
+	out := map[core.NodeID]Report{c.cfg.Self.Node: c.report(ctx)}
+	for _, a := range c.Gather(ctx, MethodReport, nil) {
+		r := Report{Node: a.Member.Node, Backend: "no answer"}
+		if a.Err == nil && json.Unmarshal(a.Payload, &r) != nil {
+			r = Report{Node: a.Member.Node, Backend: "no answer"}
 		}
-		out[a.Member.Node] = 0
+		out[a.Member.Node] = r
+	}
+	return out
+}
+
+func revisionsOf(reports map[core.NodeID]Report) map[core.NodeID]core.Revision {
+	out := make(map[core.NodeID]core.Revision, len(reports))
+	for node, r := range reports {
+		out[node] = r.Revision
 	}
 	return out
 }
 
-// ReportRevision answers MethodRevision.
-func (c *Control) ReportRevision(context.Context, []byte) ([]byte, error) {
-	return json.Marshal(Report{Node: c.cfg.Self.Node, Revision: c.cfg.Current().Revision})
+func (c *Control) report(ctx context.Context) Report {
+	b := c.cfg.Backend(ctx)
+	r := Report{Node: c.cfg.Self.Node, Revision: c.cfg.Current().Revision, Backend: b.State, InFlight: b.InFlight}
+	if s := c.cfg.Lease(); s != nil {
+		r.LeaseMs = max(0, s.LeaseEnd.Sub(c.cfg.Clock.Now()).Milliseconds())
+	}
+	return r
 }
 
-// state describes the fleet for a plan.
-func (c *Control) state() intent.State {
+// AnswerReport answers MethodReport.
+func (c *Control) AnswerReport(ctx context.Context, _ []byte) ([]byte, error) {
+	return json.Marshal(c.report(ctx))
+}
+
+// state describes the fleet for a plan. The requests in flight at this moment
+// stand for the peak.
+func (c *Control) state(ctx context.Context) intent.State {
 	out := intent.State{}
+	reports := c.reports(ctx)
 	v := c.cfg.View()
 	for _, s := range v.Services() {
 		for _, span := range v.Spans(s) {
@@ -110,6 +135,9 @@
 				out[s] = append(out[s], nodesOf(t)...)
 			}
 		}
+		for i := range out[s] {
+			out[s][i].PeakInFlight = float64(reports[out[s][i].Node].InFlight)
+		}
 	}
 	return out
 }
--- a/control/report.go
+++ b/control/report.go
@@ -26,8 +26,8 @@
 		Revision: conf.Revision, Store: c.cfg.StoreStatus(), Backend: c.cfg.Backend(ctx),
 		Group: operator.GroupStatus{Number: c.cfg.Group().Number},
 	}
-	revisions := c.revisions(ctx)
-	st.WaitingFor = intent.Waiting(revisions, conf.Revision)
+	reports := c.reports(ctx)
+	st.WaitingFor = intent.Waiting(revisionsOf(reports), conf.Revision)
 	st.InForce = len(st.WaitingFor) == 0
 	s := c.cfg.Lease()
 	if s == nil {
@@ -43,21 +43,17 @@
 		}
 	}
 	if s.Table != nil {
-		st.Group.Members = c.members(s.Table, revisions)
-	}
-	for i := range st.Group.Members {
-		if st.Group.Members[i].Node == c.cfg.Self.Node {
-			st.Group.Members[i].LeaseMs = max(0, s.LeaseEnd.Sub(c.cfg.Clock.Now()).Milliseconds())
-		}
+		st.Group.Members = c.members(s.Table, reports)
 	}
 	return st, nil
 }
 
-func (c *Control) members(t *core.Table, revisions map[core.NodeID]core.Revision) []operator.MemberStatus {
+func (c *Control) members(t *core.Table, reports map[core.NodeID]Report) []operator.MemberStatus {
 	out := make([]operator.MemberStatus, len(t.Members))
 	svc, _ := c.cfg.Current().Declaration.Service(c.cfg.Service)
 	for i, m := range t.Members {
-		out[i] = operator.MemberStatus{Node: m.Node, DataCentre: m.DataCentre, Revision: revisions[m.Node]}
+		r := reports[m.Node]
+		out[i] = operator.MemberStatus{Node: m.Node, DataCentre: m.DataCentre, Revision: r.Revision, LeaseMs: r.LeaseMs, Backend: r.Backend}
 		for _, n := range svc.Drains {
 			out[i].Draining = out[i].Draining || n == m.Node
 		}
--- a/intent/diff.go
+++ b/intent/diff.go
@@ -52,6 +52,9 @@
 func flatten(d Declaration) map[string]string {
 	var v any
 	// A Declaration holds only texts, numbers and slices, so both calls succeed.
+	if d.Services == nil {
+		d.Services = []Service{} // no services, rather than none stated
+	}
 	data, _ := json.Marshal(d)
 	_ = json.Unmarshal(data, &v)
 	out := map[string]string{}
--- a/load/fire.go
+++ b/load/fire.go
@@ -25,7 +25,7 @@
 
 // fire sends one request, and resends it as its class allows.
 func (r *Runner) fire(ctx context.Context, s shot) {
-	id := string(r.cfg.Service) + "-" + strconv.FormatUint(r.cfg.Seed, 36) + "-" + strconv.FormatUint(s.seq, 36)
+	id := string(r.cfg.Service) + "-" + r.run + "-" + strconv.FormatUint(s.seq, 36)
 	var last sample
 	attempts := 1
 	if s.class.Once {
@@ -125,7 +125,7 @@
 		h.Set("Marjoram-Kind", c.Kind)
 	}
 	if c.Once {
-		h.Set("Idempotency-Key", string(r.cfg.Service)+"-"+strconv.FormatUint(r.cfg.Seed, 36)+"-"+strconv.FormatUint(s.seq, 36))
+		h.Set("Idempotency-Key", string(r.cfg.Service)+"-"+r.run+"-"+strconv.FormatUint(s.seq, 36))
 		h.Set("Marjoram-Issued-At", strconv.FormatInt(s.at.UnixMilli(), 10))
 	}
 	return req, digest, nil
--- a/load/load.go
+++ b/load/load.go
@@ -111,6 +111,9 @@
 	collector *collector
 	hints     *hints
 	pool      *ants.Pool
+	// run tells the ids and idempotency keys of this run from those of others
+	// with the same seed.
+	run string
 }
 
 // New prepares a run.
@@ -132,6 +135,7 @@
 		results:   ring.New[sample]("samples", samples, ring.Wait),
 		collector: newCollector(),
 		hints:     newHints(),
+		run:       strconv.FormatInt(time.Now().UnixNano(), 36),
 	}, nil
 }
 
--- a/node/calls.go
+++ b/node/calls.go
@@ -22,16 +22,17 @@
 
 func (n *Node) calls() map[string]transport.CallFunc {
 	return map[string]transport.CallFunc{
-		callGroup:              n.receiveGroup,
-		callTable:              n.answerTable,
-		callHandOver:           n.receiveHandOver,
-		callConfig:             n.answerConfig,
-		callEject:              n.answerEject,
-		callMarks:              n.receiveMarks,
-		callBurn:               n.answerBurn,
-		callLoad:               n.receiveLoad,
-		control.MethodRevision: func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ReportRevision(ctx, b) },
-		control.MethodExplain:  func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ExplainOwned(ctx, b) },
+		callGroup:             n.receiveGroup,
+		callTable:             n.answerTable,
+		callHandOver:          n.receiveHandOver,
+		callConfig:            n.answerConfig,
+		callEject:             n.answerEject,
+		callMarks:             n.receiveMarks,
+		callBurn:              n.answerBurn,
+		callLoad:              n.receiveLoad,
+		control.MethodReport:  func(ctx context.Context, b []byte) ([]byte, error) { return n.control.AnswerReport(ctx, b) },
+		control.MethodLift:    n.answerLift,
+		control.MethodExplain: func(ctx context.Context, b []byte) ([]byte, error) { return n.control.ExplainOwned(ctx, b) },
 	}
 }
 
--- a/node/declared.go
+++ b/node/declared.go
@@ -7,6 +7,7 @@
 
 	"marjoramshore.example/core"
 	"marjoramshore.example/intent"
+	"marjoramshore.example/journal"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/suspect"
 )
@@ -60,6 +61,7 @@
 	}
 	n.weights.Store(&w)
 	n.burn.push(burnMessage{objectives: objectives(c.Declaration)})
+	n.record(journal.Event{Type: journal.Configuration, Revision: c.Revision, Cause: "revision " + strconv.FormatUint(uint64(c.Revision), 10) + " in force"})
 	n.applyQuarantines(ctx, was.Quarantines, own.Quarantines)
 	return n.applyRevision(ctx, c.Revision, declaredDrain(own, n.cfg.Node), declaredDrain(was, n.cfg.Node))
 }
--- a/node/marks.go
+++ b/node/marks.go
@@ -19,15 +19,14 @@
 
 // passMarks sends the marks of a death to the other members of the service.
 func (n *Node) passMarks(marks []suspect.Mark) {
-	s := n.Lease()
-	if s == nil || s.Table == nil || len(marks) == 0 {
+	if len(marks) == 0 {
 		return
 	}
 	body, err := json.Marshal(marks)
 	if err != nil {
 		return
 	}
-	for _, m := range s.Table.Members {
+	for _, m := range n.control.MembersOf(n.cfg.Service) {
 		if m.SameRun(n.self) {
 			continue
 		}
@@ -48,6 +47,16 @@
 	return nil, nil
 }
 
+// answerLift ends a quarantine on this node by an operator's order.
+func (n *Node) answerLift(ctx context.Context, payload []byte) ([]byte, error) {
+	f, ok := parseFingerprint(string(payload))
+	if !ok {
+		return nil, core.Fail(core.CodeInvalid, "lift: malformed fingerprint")
+	}
+	n.owner.Lift(ctx, f)
+	return nil, nil
+}
+
 // quarantined is told of each request that is refused from now on.
 func (n *Node) quarantined(f suspect.Fingerprint) {
 	n.log.WithFields(fields{"fingerprint": fmt.Sprintf("%016x", uint64(f))}).Warn("request quarantined")
--- a/operator/api.go
+++ b/operator/api.go
@@ -107,6 +107,8 @@
 	Share    float64 `json:"share"`
 	Draining bool    `json:"draining"`
 	LeaseMs  int64   `json:"lease_ms"` // time left
+	// Backend is the state of the backend server beside the member.
+	Backend string `json:"backend"`
 }
 
 // BackendStatus describes the backend server beside the node.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -65,7 +65,7 @@
 		f.entered <- struct{}{}
 		<-f.block
 	}
-	return Status{Node: "n1", Service: "hintapalvelu", InForce: true, Group: GroupStatus{Members: []MemberStatus{{Node: "n1", Share: 0.25}}}}, f.err
+	return Status{Node: "n1", Service: "hintapalvelu", InForce: true, Group: GroupStatus{Members: []MemberStatus{{Node: "n1", Share: 0.25, Backend: "serving"}}}}, f.err
 }
 
 func (f *fake) Explain(_ context.Context, s core.Service, key string) (Explanation, error) {
--- a/operator/render.go
+++ b/operator/render.go
@@ -125,7 +125,7 @@
 	}
 	for _, m := range g.Members {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f%%\t%s\t%s\n", m.Node, m.DataCentre, m.Revision, m.Ranges,
-			100*m.Share, ms(m.LeaseMs), word(m.Draining, "draining", "serving"))
+			100*m.Share, ms(m.LeaseMs), word(m.Draining, "draining", m.Backend))
 	}
 }
 
@@ -161,7 +161,8 @@
 			e.Revision, e.Term, e.Cause, strings.Join(detail, " "))
 	}
 	for _, c := range h.Changes {
-		fmt.Fprintf(w, "%s\t%s\t%s\n", at(c.AtMs), c, c.Cause)
+		// No tabs: a long list of changes would widen the events' columns.
+		fmt.Fprintf(w, "%s %s (%s)\n", at(c.AtMs), c, c.Cause)
 	}
 }
 
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -126,6 +126,11 @@
 	left := d.moves[:0]
 	for _, m := range d.moves {
 		keep := d.busy(m.rng)
+		if state, reason := d.monitor.State(); state == health.Ejected && reason.Hard() {
+			// A frozen or dead backend server ends nothing. Its keys must be
+			// served elsewhere; what it may still run becomes unknown there.
+			keep = nil
+		}
 		if len(keep) > 0 && now.Before(m.until) {
 			left = append(left, m)
 			continue
