Count the death of a run that no probe saw

A backend server that restarts and dies again before the next probe, at most 250 ms later, died unnoticed, because the prober took a refused connection for a death only after a successful probe. A request that crashes every run was then not marked and crashed more than three. The owner's duty now also takes a refused probe for a death when an exchange that was let in after the last death broke; only such exchanges are marked, so that no request gets two marks for one death.

--- a/node/backend.go
+++ b/node/backend.go
@@ -82,16 +82,19 @@
 }
 
 // probe asks the backend server for its health. A refused connection after an
-// accepted one is the death of a run; a new announcement is a new run.
+// accepted one is the death of a run; a new announcement is a new run. A run
+// may also start and die between two probes, which only its exchanges show.
 func (p *prober) probe(ctx context.Context) {
 	healthy, err := p.health(ctx)
 	p.n.owner.Probed(err == nil, healthy)
 	switch {
-	case p.alive && errors.Is(err, syscall.ECONNREFUSED):
-		p.alive = false
+	case errors.Is(err, syscall.ECONNREFUSED):
 		p.deaths++
-		p.n.log.WithFields(fields{"deaths": p.deaths}).Warn("backend server died")
-		p.n.owner.BackendDied(suspect.DeathID(uint64(p.n.self.Incarnation) + p.deaths))
+		p.n.owner.BackendDied(suspect.DeathID(uint64(p.n.self.Incarnation)+p.deaths), p.alive)
+		if p.alive {
+			p.n.log.WithFields(fields{"death": p.deaths}).Warn("backend server died")
+		}
+		p.alive = false
 	case !p.alive && err == nil:
 		if a, err := p.announcement(ctx); err == nil && a.Service == p.n.cfg.Service {
 			p.alive = true
--- a/owner/control.go
+++ b/owner/control.go
@@ -46,8 +46,9 @@
 }
 
 // BackendDied marks the requests in flight at the death of one run of the
-// backend server.
-func (o *Owner) BackendDied(id suspect.DeathID) { o.send(died{id}) }
+// backend server. When no probe saw that run, only exchanges that broke after
+// the last death prove that there was one, and only they are marked.
+func (o *Owner) BackendDied(id suspect.DeathID, seen bool) { o.send(died{id, seen}) }
 
 // Probed reports one probe: whether the backend server answered, and whether
 // it says that it is healthy.
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -97,8 +97,12 @@
 	reply    ring.Reply[struct{}]
 }
 
-// died reports the death of one run of the backend server.
-type died struct{ id suspect.DeathID }
+// died reports the death of one run of the backend server, and whether a probe
+// saw that run.
+type died struct {
+	id   suspect.DeathID
+	seen bool
+}
 
 // probe reports one probe of the backend server.
 type probe struct{ ok, healthy bool }
@@ -125,6 +129,7 @@
 
 	running map[*exchange]struct{} // bounded by the controller's pool
 	broken  []broken
+	diedAt  clock.Instant // when the last death was noticed
 	moves   []handOver
 	counts  counts
 }
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -75,8 +75,12 @@
 }
 
 // remember keeps an exchange whose connection broke for a death that is
-// noticed a moment later.
+// noticed a moment later. One that was let in before the last death was marked
+// at that death.
 func (d *duty) remember(x *exchange) {
+	if x.letInAt <= d.diedAt {
+		return
+	}
 	if len(d.broken) == maxBroken {
 		d.broken = d.broken[1:]
 	}
@@ -157,7 +161,7 @@
 func (m died) apply(d *duty) {
 	var list []suspect.Inflight
 	for x := range d.running {
-		if x.started {
+		if m.seen && x.started {
 			list = append(list, inflight(x))
 		}
 	}
@@ -165,10 +169,14 @@
 		list = append(list, b.inflight)
 	}
 	d.broken = nil
-	if len(list) == 0 {
+	if !m.seen && len(list) == 0 {
 		return
 	}
 	now := d.clock.Now()
+	d.diedAt = now
+	if len(list) == 0 {
+		return
+	}
 	for _, f := range d.suspects.BackendDied(now, m.id, list) {
 		d.cfg.Quarantined(f)
 	}
