Let the keys of a dead backend server move without the drain cap

A node whose backend server answers nothing drains its keys, and that drain waited for the cap on concurrent drains. With two dead backend servers in a group of five, the keys of the second were unavailable until the first was back. The coordinator now accepts the drain of a node that reported a hard ejection; such drains still count towards the cap of others.

--- a/node/ejection.go
+++ b/node/ejection.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"marjoramshore.example/core"
 	"marjoramshore.example/health"
+	"marjoramshore.example/membership"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/ring"
 )
@@ -55,6 +57,9 @@
 	drained  bool
 	doubts   map[core.NodeID]health.Candidate
 	lastSeen map[core.NodeID]time.Time
+	// dead holds the nodes whose backend servers answer nothing. The lease
+	// duty of a coordinator reads it.
+	dead atomic.Pointer[map[core.NodeID]bool]
 }
 
 func newEjection(n *Node) *ejection {
@@ -132,6 +137,7 @@
 	}
 	e.doubts[c.asker] = health.Candidate{Node: c.asker, State: c.state, Reason: c.reason, Since: since}
 	e.lastSeen[c.asker] = now
+	e.publishDead()
 	all := make([]health.Candidate, 0, len(s.Table.Members))
 	for _, m := range s.Table.Members {
 		if d, ok := e.doubts[m.Node]; ok {
@@ -153,10 +159,30 @@
 		if time.Since(at) > ejectForget {
 			delete(e.lastSeen, node)
 			delete(e.doubts, node)
+			e.publishDead()
 		}
 	}
 }
 
+func (e *ejection) publishDead() {
+	dead := map[core.NodeID]bool{}
+	for node, d := range e.doubts {
+		if d.State == health.Ejected && d.Reason.Hard() {
+			dead[node] = true
+		}
+	}
+	e.dead.Store(&dead)
+}
+
+// mayDrain is asked by the coordinator. A backend server that answers nothing
+// waits for no drain cap: its keys are unavailable until they move.
+func (e *ejection) mayDrain(draining []core.Member, candidate core.Member, total int) bool {
+	if dead := e.dead.Load(); dead != nil && (*dead)[candidate.Node] {
+		return true
+	}
+	return membership.MayDrain(draining, candidate, total)
+}
+
 // answerEject answers callEject on a coordinator.
 func (n *Node) answerEject(ctx context.Context, payload []byte) ([]byte, error) {
 	var d doubt
