Test that a crashing request is quarantined in a real fleet

No test sent a request that crashes its backend server through real nodes. It is resent 40 times, with the backend servers left down, restarted late and restarted at once; at most 3 may crash and other keys must be served.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -178,3 +178,53 @@
 	must.Positive(t, counts["answered"])
 	must.Positive(t, counts["refused-not-run"]+counts["deadline-passed-not-run"])
 }
+
+// Guards against a request that crashes one backend server after another:
+// after at most 3 deaths it is refused, whether the crashed backend servers
+// return or not, and the other keys stay served.
+func TestPoisonIsQuarantined(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"left down": time.Hour, "restarted late": 700 * time.Millisecond, "restarted at once": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 5)
+			last := f.resendPoison(pause)
+			crashes := uint64(0)
+			for _, b := range f.backends {
+				crashes += b.Stats().Crashes
+			}
+			must.Eq(t, "quarantined", last.outcome, must.Sprintf("%+v after %d crashes", last, crashes))
+			must.LessEq(t, uint64(3), crashes)
+			f.served(15*time.Second, f.nodes[0], []string{"ewe-1", "ewe-2", "ewe-3", "ewe-4", "ewe-5", "ewe-6", "ewe-7", "ewe-8"})
+		})
+	}
+}
+
+// resendPoison resends one crashing request 40 times through all nodes, and
+// restarts each crashed backend server after a pause. It returns the last
+// answer.
+func (f *fleet) resendPoison(pause time.Duration) (last answer) {
+	f.t.Helper()
+	diedAt := map[*backend.Server]time.Time{}
+	for i := range 40 {
+		a, err := f.ask(f.t.Context(), f.nodes[i%len(f.nodes)], http.MethodGet, "/poison/report", "ewe-poison", "Marjoram-Deadline-Ms", "250")
+		must.NoError(f.t, err)
+		if a != last {
+			f.t.Logf("attempt %d: %s %s %s", i, a.outcome, a.reason, a.body)
+		}
+		last = a
+		for j, b := range f.backends {
+			died, known := diedAt[b]
+			switch {
+			case b.Alive():
+				delete(diedAt, b)
+			case !known:
+				diedAt[b] = time.Now()
+				f.t.Logf("attempt %d: backend server %d crashed", i, j)
+			case time.Since(died) > pause:
+				must.NoError(f.t, b.Restart())
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return last
+}
