--- a/cli/cli.go
+++ b/cli/cli.go
@@ -55,7 +55,9 @@
 		return output{out, errOut}.fail(exitUsage, err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	// A second signal ends the process at once: a graceful stop may wait for
+	// minutes, for example when the whole fleet and the store are stopped.
+	defer context.AfterFunc(ctx, stop)()
 	for _, c := range commands {
 		if c.sub.Used {
 			return c.run(ctx, output{out, errOut})
