Test a frozen backend server that resumes

No test froze a backend server in a real fleet. Five submissions hang in it, its keys must be served by another node, and after it resumes no submission may have run twice, however it was resent.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -228,3 +228,44 @@
 	}
 	return last
 }
+
+// Guards against a frozen backend server that keeps its keys, and against a
+// second run when it resumes work that its caller has given up and resent.
+func TestFrozenBackendServer(t *testing.T) {
+	f := newFleet(t, 4)
+	key := f.keysOf(f.nodes[3], 1)[0]
+	issued := strconv.FormatInt(time.Now().UnixMilli(), 10)
+	submit := func(n *Node, i int) {
+		a, err := f.ask(t.Context(), n, http.MethodPost, "/short/submit", key, "Marjoram-Idempotent", "false",
+			"Idempotency-Key", "frozen-"+strconv.Itoa(i), "Marjoram-Issued-At", issued, "Marjoram-Deadline-Ms", "1500")
+		t.Logf("submission %d: %s %s %v", i, a.outcome, a.body, err)
+	}
+	for range 20 {
+		// The node judges silence by work that it knows to be short.
+		a, err := f.ask(t.Context(), f.nodes[0], http.MethodPost, "/short/submit", key)
+		must.NoError(t, err)
+		must.Eq(t, "answered", a.outcome)
+	}
+	f.backends[3].Freeze()
+	var first sync.WaitGroup
+	for i := range 5 {
+		first.Go(func() { submit(f.nodes[i%3], i) })
+	}
+	first.Wait()
+	f.await(20*time.Second, "another node serves the key", func() bool {
+		a, err := f.ask(t.Context(), f.nodes[0], http.MethodGet, "/short/price", key, "Marjoram-Deadline-Ms", "300")
+		return err == nil && a.outcome == "answered" && a.owner != f.nodes[3].CallerAddr()
+	})
+	for i := range 5 {
+		submit(f.nodes[(i+1)%3], i)
+	}
+	f.backends[3].Thaw()
+	time.Sleep(500 * time.Millisecond) // the resumed server runs what it holds
+	for i := range 5 {
+		submit(f.nodes[(i+2)%3], i)
+		must.LessEq(t, 1, f.runsOfKey("frozen-"+strconv.Itoa(i)).Started, must.Sprintf("submission %d", i))
+	}
+	for _, b := range f.backends {
+		must.Eq(t, 0, b.Stats().SecondRuns)
+	}
+}
