Test service during an outage of the store

No test of real nodes took the store away. All keys must be served for the outage, an ordinary member's keys again after its loss during it, and the record in the store must agree with the tables in use afterwards.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -13,6 +13,7 @@
 
 	"marjoramshore.example/core"
 	"marjoramshore.example/standin/backend"
+	"marjoramshore.example/standin/platform"
 )
 
 // keysOf returns keys that the node serves now.
@@ -269,3 +270,85 @@
 		must.Eq(t, 0, b.Stats().SecondRuns)
 	}
 }
+
+// Guards service while the store is down: nothing fails, a lost ordinary
+// member's keys are served again, and the store's record catches up.
+func TestStoreOutage(t *testing.T) {
+	f := newFleet(t, 5)
+	f.await(20*time.Second, "two successors are named", func() bool { return len(f.ordinary()) == 2 })
+	down := time.Now()
+	f.platform.SetFaults(platform.Faults{Down: true})
+	var keys []string
+	for _, n := range f.nodes {
+		keys = append(keys, f.keysOf(n, 3)...)
+	}
+	f.allServed(4*time.Second, keys)
+	victim := f.ordinary()[0]
+	keysOfLost := f.keysOf(f.nodes[victim], 3)
+	f.lose(victim)
+	f.await(20*time.Second, "the lost member's keys are served during the outage", func() bool {
+		f.allServed(0, append(append([]string{}, keys[:3*victim]...), keys[3*victim+3:]...))
+		for _, key := range keysOfLost {
+			a, err := f.ask(t.Context(), f.living()[0], http.MethodGet, "/short/price", key, "Marjoram-Deadline-Ms", "300")
+			if err != nil || a.outcome != "answered" {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("served again %v after the store went down", time.Since(down).Round(time.Millisecond))
+	f.allServed(8*time.Second-time.Since(down), keys)
+	f.platform.SetFaults(platform.Faults{})
+	f.await(20*time.Second, "the record agrees with the table in use", f.recordAgrees)
+	f.allServed(0, keys)
+}
+
+func (f *fleet) living() (out []*Node) {
+	for _, n := range f.nodes {
+		if n != nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// allServed looks up the keys through all nodes for a while, at least once,
+// and fails at the first lookup that fails.
+func (f *fleet) allServed(d time.Duration, keys []string) {
+	f.t.Helper()
+	nodes := f.living()
+	for i, end := 0, time.Now().Add(d); i < len(keys) || time.Now().Before(end); i++ {
+		key := keys[i%len(keys)]
+		a, err := f.ask(f.t.Context(), nodes[i%len(nodes)], http.MethodGet, "/short/price", key)
+		must.NoError(f.t, err)
+		must.Eq(f.t, "answered", a.outcome, must.Sprintf("%s: %+v", key, a))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// recordAgrees reports whether the group's record in the store assigns what
+// every living node uses.
+func (f *fleet) recordAgrees() bool {
+	o, err := f.platform.Get(f.t.Context(), groupKey(core.GroupID{Service: testService}))
+	if err != nil {
+		return false
+	}
+	rec, err := decodeRecord(o.Value)
+	if err != nil {
+		return false
+	}
+	for _, n := range f.living() {
+		s := n.Lease()
+		if s.Table == nil || s.Unwritten || s.Table.Version != rec.Table.Version || len(s.Table.Entries) != len(rec.Table.Entries) {
+			return false
+		}
+		for _, e := range rec.Table.Entries {
+			want, _, _ := rec.Table.Owner(e.Range.Lo)
+			have, token, ok := s.Table.Owner(e.Range.Lo)
+			if !ok || token != e.Token || !have.SameRun(want) {
+				return false
+			}
+		}
+	}
+	return true
+}
