Test two operators who confirm plans of one revision

No test let two operators race through two real nodes. Exactly one plan may be accepted, the refusal must name the accepted change, a repeated confirmation must do no harm, and the revision must be in force on all nodes.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -12,6 +13,8 @@
 	"github.com/shoenig/test/must"
 
 	"marjoramshore.example/core"
+	"marjoramshore.example/intent"
+	"marjoramshore.example/operator"
 	"marjoramshore.example/standin/backend"
 	"marjoramshore.example/standin/platform"
 )
@@ -352,3 +355,62 @@
 	}
 	return true
 }
+
+// Guards against two operators whose plans come from one revision and are both
+// accepted, and against a refusal that does not say what differed.
+func TestOperatorsRace(t *testing.T) {
+	f := newFleetWith(t, 4, func(c *Config) {
+		c.Region, c.OperatorListen, c.ReadToken, c.ChangeToken = "fi-south", "127.0.0.1:0", "read-token", "change-token"
+	})
+	var clients [2]*operator.Client
+	var plans [2]intent.Plan
+	for i := range clients {
+		c, err := operator.NewClient("http://"+f.nodes[i].OperatorAddr(), "change-token", 0)
+		must.NoError(t, err)
+		t.Cleanup(c.Close)
+		clients[i] = c
+		plans[i], err = c.Apply(t.Context(), fmt.Appendf(nil, `{"services": [{"name": "hintapalvelu", "region": "fi-south", "groups": 1,
+			"slots": 17, "connections": 130, "customers": [{"name": "farmer-1", "weight": %d}]}]}`, i+2))
+		must.NoError(t, err)
+	}
+	must.Eq(t, plans[0].Base, plans[1].Base)
+	var accepted [2]operator.Accepted
+	var errs [2]error
+	var both sync.WaitGroup
+	for i := range clients {
+		both.Go(func() {
+			accepted[i], errs[i] = clients[i].Confirm(t.Context(), operator.Confirm{PlanID: plans[i].ID, Who: operator.Who{By: "operator-" + strconv.Itoa(i)}})
+		})
+	}
+	both.Wait()
+	won := 0
+	if errs[0] != nil {
+		won = 1
+	}
+	must.NoError(t, errs[won])
+	var refused *operator.ErrorBody
+	must.True(t, errors.As(errs[1-won], &refused), must.Sprintf("%v", errs[1-won]))
+	must.Eq(t, http.StatusConflict, refused.Status)
+	must.NotNil(t, refused.Conflict)
+	must.SliceLen(t, 1, refused.Conflict.Since)
+	must.Eq(t, plans[won].ID, refused.Conflict.Since[0].Plan)
+	must.SliceNotEmpty(t, refused.Conflict.Since[0].Changes)
+	// The repetition goes through both nodes; the plan is kept on one of them.
+	for _, c := range clients {
+		again, err := c.Confirm(t.Context(), operator.Confirm{Plan: &plans[won]})
+		must.NoError(t, err)
+		must.Eq(t, accepted[won].Revision, again.Revision)
+	}
+	f.await(15*time.Second, "the accepted revision is in force on all nodes", func() bool {
+		for _, n := range f.nodes {
+			c := n.config.Current()
+			if c.Revision != accepted[won].Revision || len(intent.Diff(c.Declaration, plans[won].Result)) != 0 {
+				return false
+			}
+		}
+		return true
+	})
+	status, err := clients[1-won].Status(t.Context())
+	must.NoError(t, err)
+	must.True(t, status.InForce, must.Sprintf("waiting for %v", status.WaitingFor))
+}
