Test a half-sent upload during a graceful stop

No test of real nodes stopped one in the middle of an upload. Two uploads, one through another node and one through the stopping node, are finished 3 s after the request to stop; both answers must be complete and the stop must wait.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -414,3 +419,77 @@
 	must.NoError(t, err)
 	must.True(t, status.InForce, must.Sprintf("waiting for %v", status.WaitingFor))
 }
+
+// Guards against a graceful stop that cuts a half-sent upload, whether it came
+// through another node or through the stopping node itself.
+func TestStopWaitsForUpload(t *testing.T) {
+	f := newFleet(t, 3)
+	stopping := f.nodes[2]
+	key := f.keysOf(stopping, 1)[0]
+	half := strings.Repeat("0123456789abcdef", 4<<10)
+	sum := sha256.Sum256([]byte(half + half))
+	uploads := []*upload{f.startUpload(f.nodes[0], key), f.startUpload(stopping, key)}
+	for _, u := range uploads {
+		_, err := io.WriteString(u.body, half)
+		must.NoError(t, err)
+	}
+	f.await(10*time.Second, "both uploads reached the backend server", func() bool { return f.backends[2].Stats().InFlight == 2 })
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		stopped <- stopping.Stop(ctx)
+	}()
+	select {
+	case err := <-stopped:
+		t.Fatalf("stopped before the uploads ended: %v", err)
+	case <-time.After(3 * time.Second): // longer than the 2 s until no new work is admitted
+	}
+	for _, u := range uploads {
+		_, err := io.WriteString(u.body, half)
+		must.NoError(t, err)
+		must.NoError(t, u.body.Close())
+		r := <-u.result
+		must.NoError(t, r.err)
+		must.Eq(t, "answered", r.outcome)
+		must.Eq(t, int64(2*len(half)), r.echo.Length)
+		must.Eq(t, hex.EncodeToString(sum[:]), r.echo.Digest)
+	}
+	must.NoError(t, <-stopped)
+	f.nodes[2] = nil
+}
+
+type upload struct {
+	body   *io.PipeWriter
+	result chan uploaded
+}
+
+type uploaded struct {
+	outcome string
+	echo    backend.Echo
+	err     error
+}
+
+// startUpload sends a request whose body is written by the caller.
+func (f *fleet) startUpload(n *Node, key string) *upload {
+	f.t.Helper()
+	r, w := io.Pipe()
+	u := &upload{body: w, result: make(chan uploaded, 1)}
+	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+n.CallerAddr()+"/upload/sheet", r)
+	must.NoError(f.t, err)
+	req.Header.Set("Marjoram-Service", testService)
+	req.Header.Set("Marjoram-Key", key)
+	req.Header.Set("Marjoram-Kind", "long")
+	go func() {
+		resp, err := f.caller.Do(req)
+		if err != nil {
+			u.result <- uploaded{err: err}
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		out := uploaded{outcome: resp.Header.Get("Marjoram-Outcome")}
+		out.err = json.NewDecoder(resp.Body).Decode(&out.echo)
+		u.result <- out
+	}()
+	return u
+}
