Record that a server whose probes fail while warming is not ejected

The test of a frozen backend server showed that one which freezes before it is warm, and has no hanging work that is known to be short, keeps its keys until the warming is over. Only a suspect server asks for the permission of a soft ejection, and a warming server never becomes suspect.

--- a/health/health_test.go
+++ b/health/health_test.go
@@ -254,3 +254,15 @@
 	dead := []Candidate{{"a", Ejected, Frozen, 1}, {"b", Ejected, Refusing, 1}, {"c", Suspect, Slow, 1}}
 	must.SliceEmpty(t, Cap(dead, 0.2))
 }
+
+// Guards against a frozen backend server that keeps its keys until it is warm:
+// a node asks for the permission to eject only while its server is suspect.
+func TestProbesFailWhileWarming(t *testing.T) {
+	m := New(0, Config{})
+	for now := clock.Instant(0); now < clock.Instant(5*time.Second); now = now.Add(tickRate) {
+		m.Probe(now, false, false)
+		m.Tick(now)
+		m.Permit(m.state == Suspect)
+	}
+	must.EqOp(t, Ejected, m.state)
+}
