--- a/health/health.go
+++ b/health/health.go
@@ -323,10 +323,10 @@
 	m.normal += rate * (mean - m.normal)
 }
 
-// suspect moves to Suspect. A warming server stays warming, because its share
-// is small already.
+// suspect moves to Suspect, from Warming as well: only the node of a suspect
+// server asks for the permission to eject it.
 func (m *Monitor) suspect(now clock.Instant, r Reason) {
-	if m.state == Serving {
+	if m.state == Serving || m.state == Warming {
 		m.set(now, Suspect, r)
 	}
 }
--- a/node/backend.go
+++ b/node/backend.go
@@ -171,10 +171,20 @@
 		n.log.WithError(err).Error("cannot join the group")
 		return
 	}
+	ctx, n.stopLease = context.WithCancel(ctx)
 	n.lease.Store(d)
 	n.run(func() { d.Run(ctx) })
 }
 
+// leaveFullGroup ends the lease duty of a node that found no room, for example
+// because many nodes chose the same group at once. It runs on that duty; the
+// prober then chooses again.
+func (n *Node) leaveFullGroup() {
+	n.log.Warn("group full")
+	n.stopLease()
+	n.lease.Store(nil)
+}
+
 // healthChanged drains the node while its backend server is ejected. It runs
 // on the owner's duty, so the lease duty is told through the ejection duty.
 func (n *Node) healthChanged(s health.State, r health.Reason) {
--- a/node/node.go
+++ b/node/node.go
@@ -56,10 +56,13 @@
 	burn     *burnDuty
 	balance  *balance.Duty
 	damper   *membership.Damper // owned by the lease duty
-	number   atomic.Uint32      // of the group, set before the lease duty starts
-	groups   uint32             // of the service, likewise
-	ejection *ejection
-	log      log.Interface
+	// stopLease ends the running lease duty. The prober sets it before that
+	// duty starts, and only that duty calls it.
+	stopLease context.CancelFunc
+	number    atomic.Uint32 // of the group, set before the lease duty starts
+	groups    uint32        // of the service, likewise
+	ejection  *ejection
+	log       log.Interface
 	// work runs short control calls to other nodes.
 	work     *ants.Pool
 	probeNow chan struct{}
@@ -314,6 +317,9 @@
 	}
 	n.owner.LeaseChanged(ctx, s)
 	n.config.Follow(s)
+	if s.Reason == ownership.ReasonGroupFull {
+		n.leaveFullGroup()
+	}
 	if s.Reason == ownership.ReasonLeft {
 		n.leftOnce.Do(func() { close(n.left) })
 	}
--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -176,7 +176,11 @@
 		i = n.join(*r.Join)
 	}
 	if i == nil {
-		a := n.answer(r, RefusedClaimNeeded)
+		verdict := RefusedClaimNeeded
+		if r.Join != nil && !r.Leaving {
+			verdict = RefusedGroupFull
+		}
+		a := n.answer(r, verdict)
 		a.Removed = r.Leaving
 		n.sendAnswer(r, a)
 		return
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"time"
+
 	"slices"
 
 	"marjoramshore.example/clock"
@@ -15,8 +17,14 @@
 	to  core.Member
 }
 
+// fullRetry is how often a node asks again in a group without room. Its caller
+// usually takes it to another group before.
+const fullRetry = 5 * time.Second
+
 // member is the state of the lease holder.
 type member struct {
+	// full is set while the coordinator has no room for this node.
+	full      bool
 	table     *core.Table
 	leaseTerm uint64
 	leaseEnd  clock.Instant
@@ -75,6 +83,8 @@
 	case m.stopping && n.now >= m.drainAt.Add(n.t.Stop),
 		m.draining && m.accepted && n.now >= m.acceptAt.Add(n.t.Stop):
 		return ReasonDraining
+	case m.full:
+		return ReasonGroupFull
 	case n.now >= n.leaseEnd():
 		return ReasonNoLease
 	}
@@ -249,6 +259,7 @@
 		n.journal(EventLeft, n.self, core.Range{})
 		return
 	}
+	m.full = false
 	switch a.Verdict {
 	case Granted:
 		if a.Acting {
@@ -262,6 +273,9 @@
 		n.setTerm(a.Term, to)
 		m.mustJoin = true
 		m.nextRenew = min(m.nextRenew, n.now.Add(n.t.Heartbeat/16))
+	case RefusedGroupFull:
+		m.full = true
+		m.nextRenew = n.now.Add(fullRetry)
 	case RefusedNotCoordinator:
 		n.redirect(a, s)
 	}
--- a/ownership/messages.go
+++ b/ownership/messages.go
@@ -84,8 +84,8 @@
 	RefusedTakeover
 	// RefusedActing: a promise of the receiver excludes the request.
 	RefusedActing
-	// RefusedUnknownMember: the receiver's group has no room for the sender.
-	RefusedUnknownMember
+	// RefusedGroupFull: the receiver's group has no room for the sender.
+	RefusedGroupFull
 )
 
 // RenewAnswer answers one Renew. With Granted, the sender of the Renew holds a
--- a/ownership/outage_test.go
+++ b/ownership/outage_test.go
@@ -40,3 +40,22 @@
 	s.run(5 * time.Second)
 	must.Eq(t, ReasonLeft, s.nodes[0].node.Snapshot().Reason)
 }
+
+// TestFullGroup guards against a node that hammers a group without room: 64
+// nodes that started at once left five of them sending 37 KB a second.
+func TestFullGroup(t *testing.T) {
+	s := newSim(1, MaxMembers+1, 4, DefaultTiming())
+	s.startAll()
+	s.run(40 * time.Second)
+	full := 0
+	for _, n := range s.nodes {
+		if n.snap != nil && n.snap.Reason == ReasonGroupFull {
+			full++
+			sent := n.node.m.seq
+			s.run(time.Minute)
+			must.Less(t, uint64(time.Minute/fullRetry)+2, n.node.m.seq-sent)
+		}
+	}
+	must.Eq(t, 1, full)
+	must.Eq(t, "", s.fault)
+}
--- a/ownership/snapshot.go
+++ b/ownership/snapshot.go
@@ -13,9 +13,11 @@
 
 // Reasons.
 const (
-	ReasonServing  Reason = "serving"
-	ReasonNoLease  Reason = "no-lease"
-	ReasonDraining Reason = "draining"
+	ReasonServing Reason = "serving"
+	ReasonNoLease Reason = "no-lease"
+	// ReasonGroupFull: the group has no room; the node should join another.
+	ReasonGroupFull Reason = "group-full"
+	ReasonDraining  Reason = "draining"
 	// ReasonLeaving: the node serves nothing any more, but its group still
 	// needs it, for example for its promise as a successor.
 	ReasonLeaving Reason = "leaving"
