Divide a group's part of the key space, not the whole, among its members

Cause: a fleet of 64 processes in ten groups did not settle. The share of a joining member was computed of the whole key space, ten times too much, so that members took ranges from each other for ever, down to single hashes, and three nodes had none. The protocol's tests used one group that owns everything. Change: the share is that of the group's space; a test with a tenth of the key space, which fails without it.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -68,7 +68,7 @@
 func Assumed() Assumptions {
 	return Assumptions{
 		GroupSize: 10, Ranges: 64, Services: 60, NonIdempotent: 0.1, Window: 600,
-		HotPeriod: 180, Peak: 10, StatusInterval: 60, WatchWait: 55, Rack: 20, Link: 125e6,
+		HotPeriod: 180, Peak: 10, StatusInterval: 60, WatchWait: 3, Rack: 20, Link: 125e6,
 	}
 }
 
--- a/capacity/process.go
+++ b/capacity/process.go
@@ -47,19 +47,9 @@
 	work, wire := m.at("hand-over-time", records), size/m.Assumptions.Link
 	return m.judge(Row{
 		Role:    fmt.Sprintf("hand-over of one range (%.0f thousand records)", records/1e3),
-		Carrier: "node (hand-over call), groupwire, once: all records while the range waits; the copy ahead (once.ExportSince) is not called",
+		Carrier: "node (hand-over calls of 2,000 records), groupwire, once: all records while the range waits; the copy ahead (once.ExportSince) is not called",
 		State:   size, Memory: size,
-	}, when(work+wire > pause, fmt.Sprintf("%.0f ms of processor time and %.0f ms on the wire exceed %.0f ms", work*1e3, wire*1e3, pause*1e3)),
-		when(size > callBound, fmt.Sprintf("%s exceeds the %s that transport receives in one message, so the call is refused and the range does not move; at most %.1f thousand records fit in one", Size(size), Size(callBound), m.atMost("hand-over-bytes", callBound)/1e3)))
-}
-
-// atMost returns the size at which a slope reaches a value.
-func (m *Model) atMost(name string, value float64) float64 {
-	s, _ := m.record.Find(name)
-	if s.Slope <= 0 {
-		return 0
-	}
-	return (value - s.Intercept) / s.Slope
+	}, when(work+wire > pause, fmt.Sprintf("%.0f ms of processor time and %.0f ms on the wire exceed %.0f ms", work*1e3, wire*1e3, pause*1e3)))
 }
 
 // peersRow is the idle connections of a node to the others of its region.
@@ -150,8 +140,8 @@
 	peers := float64(m.Fleet.Nodes)/float64(m.Fleet.Regions) - 1
 	whole := func(name string, copies float64) Row {
 		m.begin()
-		return m.judge(sum("whole process: "+name+", tables of its region", "sum of group role, entrance, owner's side, configuration and connections",
-			m.groupRole("", name, ""), m.entrance("", m.regionGroups()), m.owner(),
+		return m.judge(sum("whole process: "+name+", tables of its region", "sum of group role, entrance, owner's side, configuration, load report, journal, burn and connections",
+			m.groupRole("", name, ""), m.entrance("", m.regionGroups()), m.owner(), m.loadReporter(), m.journal(), m.burn(),
 			m.config("", "", copies, m.changes()), Row{Memory: m.at("connection-memory", peers)}))
 	}
 	return []Row{whole("member", 1), whole("successor", 1), whole("coordinator", float64(m.Assumptions.GroupSize))}
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -3,9 +3,6 @@
 import "fmt"
 
 const (
-	// protocolOverhead is what the slopes of groups add to each encoded
-	// message: IP and UDP headers and the datagram's own header and tag.
-	protocolOverhead = 68
 	// onceBytes is the default bound on at-most-once records.
 	onceBytes = 8 << 20
 	// admissionQueue and suspectMarks are the defaults of these modules, and
@@ -13,8 +10,6 @@
 	admissionQueue, suspectMarks, history = 1024, 1024, 64
 	// maxValue is the largest value that the store takes, in bytes.
 	maxValue = 1 << 20
-	// callBound is the largest message that transport receives.
-	callBound = 256 << 10
 	// ordinaryBurst and ordinaryRate are the default budget of store calls of
 	// one node; urgentRate is that of its lease protocol.
 	ordinaryBurst, ordinaryRate, urgentRate = 20, 0.5, 2
@@ -28,7 +23,7 @@
 // Rows returns the cost of each role of a process.
 func (m *Model) Rows() ([]Row, error) {
 	var out []Row
-	for _, list := range []func() []Row{m.groupRows, m.tableRows, m.ownerRows, m.configRows, m.operatorRows, m.pairRows, m.wholeRows, m.pendingRows} {
+	for _, list := range []func() []Row{m.groupRows, m.tableRows, m.ownerRows, m.configRows, m.operatorRows, m.pairRows, m.wholeRows, m.loadRows} {
 		out = append(out, list()...)
 	}
 	if len(m.missing) > 0 {
@@ -59,18 +54,7 @@
 		m.begin()
 		out = append(out, m.judge(m.groupRole(x[0], x[1], x[2])))
 	}
-	return append(out, m.streamRow(), m.growthRow())
-}
-
-// streamRow is the coordinator's cost when its messages are calls over the
-// stream transport, one for each message.
-func (m *Model) streamRow() Row {
-	m.begin()
-	r := m.groupRole("group coordinator whose messages are stream calls", "coordinator",
-		"node sender, transport: one HTTP/2 call for each message. The row above holds only with datagrams")
-	payload := r.Bytes/max(r.Messages, 1) - protocolOverhead
-	r.Bytes = r.Messages * m.at("call-bytes", payload)
-	return m.judge(r)
+	return append(out, m.growthRow())
 }
 
 func (m *Model) growthRow() Row {
--- a/capacity/slopes/group.go
+++ b/capacity/slopes/group.go
@@ -14,9 +14,8 @@
 
 const (
 	// overhead is added to each encoded message: 28 bytes of IPv4 and UDP
-	// headers, and 40 for the datagram's own header and tag, the bound that
-	// the budget test of groupwire uses.
-	overhead = 28 + 40
+	// headers and 22 of the datagram's header and tag (datagram.Overhead).
+	overhead = 28 + 22
 	// hop and call are one message's and one store call's virtual time.
 	hop  = time.Millisecond
 	call = 3 * time.Millisecond
--- a/capacity/slopes/measure.go
+++ b/capacity/slopes/measure.go
@@ -56,11 +56,9 @@
 // source measures some slopes.
 type source func() ([]capacity.Slope, error)
 
-// sources lists everything that is measured in this tree. The slopes of roles
-// in capacity.Pending get a source in a file of their own once their modules
-// have code.
+// sources lists everything that is measured.
 func sources() []source {
-	return []source{steadyGroups, allStoreCalls, outages, tables, onceRecords, admissionCosts, suspects, configurations, calls, connections}
+	return []source{steadyGroups, allStoreCalls, outages, tables, onceRecords, admissionCosts, suspects, configurations, calls, connections, loads, telemetry}
 }
 
 // Measure runs every measurement. It takes some seconds and uses loopback
--- a/ownership/moves.go
+++ b/ownership/moves.go
@@ -180,9 +180,10 @@
 	}
 }
 
-// giveShare takes the ends of the widest ranges until to has its share.
+// giveShare takes the ends of the widest ranges until to has its share of the
+// group's part of the key space.
 func (n *Node) giveShare(to Run, w map[Run]float64) {
-	share := 1 / float64(len(n.targets()))
+	share := n.cfg.Space.Width() / float64(len(n.targets()))
 	for range 4 {
 		missing := share - w[to]
 		e, ok := n.widestEntry(w, to)
@@ -190,6 +191,9 @@
 			return
 		}
 		from := ownerOf(n.c.table, e)
+		if w[from] <= share {
+			return
+		}
 		part := topPart(e.Range, min(missing, w[from]-share))
 		n.startMove(e, part, to)
 		w[from] -= part.Width()
--- a/ownership/outage_test.go
+++ b/ownership/outage_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"marjoramshore.example/core"
 )
 
 // TestStopInOutage guards against a planned stop that takes the whole group
@@ -59,3 +61,28 @@
 	must.Eq(t, 1, full)
 	must.Eq(t, "", s.fault)
 }
+
+// TestPartOfTheKeySpace guards against a group that owns a part of the key
+// space and divides it as if it were all: members took ranges from each other
+// for ever, down to single hashes, and some had none.
+func TestPartOfTheKeySpace(t *testing.T) {
+	s := newSim(1, 8, 4, DefaultTiming())
+	s.space = core.Range{Lo: 0x3333333333333333, Hi: 0x4ccccccccccccccb}
+	s.points = s.points[:0]
+	step := (s.space.Hi - s.space.Lo) / 64
+	for i := range core.Hash(64) {
+		s.points = append(s.points, s.space.Lo+i*step+5)
+	}
+	s.startAll()
+	s.run(40 * time.Second)
+	must.Eq(t, 0, s.unserved())
+	moves := s.events[EventMoveStarted]
+	s.run(5 * time.Minute)
+	must.Eq(t, "", s.fault)
+	must.Eq(t, moves, s.events[EventMoveStarted], must.Sprint("a settled group must not move ranges"))
+	owners := map[int]int{}
+	for _, p := range s.points {
+		owners[s.owner(p).index]++
+	}
+	must.Eq(t, 8, len(owners))
+}
