Pull a configuration once, and choose another group without new calls

Cause: in a fleet of 64 processes a node that had left a full group asked for the configuration without a pause, because it could not apply it before it had joined: 190% of a core there and at its coordinator. It also used up its store budget on the records of all groups.

--- a/configsync/configsync.go
+++ b/configsync/configsync.go
@@ -71,6 +71,7 @@
 	// Owned by Run's goroutine.
 	snapshot  *ownership.Snapshot
 	pulling   bool
+	pulledAt  time.Time
 	watched   context.Context // of the running watch
 	stopWatch context.CancelFunc
 	pending   *intent.Config
@@ -157,6 +158,9 @@
 		return
 	}
 	d.unwatch()
+	if d.pending != nil {
+		return // it is at hand, and the next tick applies it
+	}
 	if s.WantRevision > d.Current().Revision && s.Coordinator.Address != "" {
 		d.pull(ctx, s.Coordinator)
 	}
@@ -191,9 +195,10 @@
 }
 
 func (d *Duty) pull(ctx context.Context, from core.Member) {
-	if d.pulling {
-		return
+	if d.pulling || time.Since(d.pulledAt) < retryInterval {
+		return // the next tick tries again
 	}
+	d.pulledAt = time.Now()
 	err := d.pool.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
--- a/node/backend.go
+++ b/node/backend.go
@@ -180,7 +180,8 @@
 // because many nodes chose the same group at once. It runs on that duty; the
 // prober then chooses again.
 func (n *Node) leaveFullGroup() {
-	n.log.Warn("group full")
+	n.log.WithFields(fields{"group": n.number.Load()}).Warn("group full")
+	n.foundFull[n.number.Load()] = true
 	n.stopLease()
 	n.lease.Store(nil)
 }
--- a/node/declared.go
+++ b/node/declared.go
@@ -61,9 +61,12 @@
 	}
 	n.weights.Store(&w)
 	n.burn.push(burnMessage{objectives: objectives(c.Declaration)})
-	n.record(journal.Event{Type: journal.Configuration, Revision: c.Revision, Cause: "revision " + strconv.FormatUint(uint64(c.Revision), 10) + " in force"})
 	n.applyQuarantines(ctx, was.Quarantines, own.Quarantines)
-	return n.applyRevision(ctx, c.Revision, declaredDrain(own, n.cfg.Node), declaredDrain(was, n.cfg.Node))
+	if err := n.applyRevision(ctx, c.Revision, declaredDrain(own, n.cfg.Node), declaredDrain(was, n.cfg.Node)); err != nil {
+		return err
+	}
+	n.record(journal.Event{Type: journal.Configuration, Revision: c.Revision, Cause: "revision " + strconv.FormatUint(uint64(c.Revision), 10) + " in force"})
+	return nil
 }
 
 func declaredDrain(s intent.Service, node core.NodeID) bool {
--- a/node/groups.go
+++ b/node/groups.go
@@ -10,8 +10,13 @@
 	"marjoramshore.example/store"
 )
 
-// joinTimeout bounds the store reads before a node joins a group.
-const joinTimeout = 3 * time.Second
+const (
+	// joinTimeout bounds the store reads before a node joins a group.
+	joinTimeout = 10 * time.Second
+	// recordAge is how old a group's record may be for the choice. A node that
+	// found its choice full chooses again without new calls to the store.
+	recordAge = time.Minute
+)
 
 // chooseGroup decides which group the node joins. A service of one group needs
 // one read of the configuration; one of several groups needs their records. It
@@ -32,7 +37,12 @@
 	var known []membership.Group
 	for i := range count {
 		g := core.GroupID{Service: n.cfg.Service, Number: i}
-		res, err := n.store.Do(ctx, store.Op{Kind: store.OpGet, Key: groupKey(g)})
+		if n.foundFull[i] {
+			full := make([]core.Member, membership.MaxGroup)
+			known = append(known, membership.Group{Number: i, Members: full})
+			continue
+		}
+		res, err := n.store.Do(ctx, store.Op{Kind: store.OpGet, Key: groupKey(g), MaxAge: recordAge})
 		if kindOf(err) == store.KindNotFound && err != nil {
 			continue
 		}
@@ -47,6 +57,7 @@
 	n.number.Store(number)
 	if !ok {
 		n.log.Error("all groups of the service are full")
+		clear(n.foundFull) // members may leave; look again
 	}
 	return ok
 }
@@ -55,7 +66,7 @@
 	if g := n.cfg.Services[n.cfg.Service]; g > 1 {
 		return g, nil
 	}
-	res, err := n.store.Do(ctx, store.Op{Kind: store.OpGet, Key: intent.ObjectKey})
+	res, err := n.store.Do(ctx, store.Op{Kind: store.OpGet, Key: intent.ObjectKey, MaxAge: recordAge})
 	if err != nil {
 		if kindOf(err) == store.KindNotFound {
 			return 1, nil
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,9 @@
 	// stopLease ends the running lease duty. The prober sets it before that
 	// duty starts, and only that duty calls it.
 	stopLease context.CancelFunc
+	// foundFull holds the groups without room. It is written by the lease duty
+	// before it ends, and read by the prober afterwards.
+	foundFull map[uint32]bool
 	number    atomic.Uint32 // of the group, set before the lease duty starts
 	groups    uint32        // of the service, likewise
 	ejection  *ejection
@@ -91,7 +94,7 @@
 	if cfg.ProbeInterval <= 0 {
 		cfg.ProbeInterval = 250 * time.Millisecond
 	}
-	n := &Node{cfg: cfg, clock: clock.NewReal(), left: make(chan struct{}), probeNow: make(chan struct{}, 1), log: cfg.Log}
+	n := &Node{cfg: cfg, clock: clock.NewReal(), left: make(chan struct{}), probeNow: make(chan struct{}, 1), log: cfg.Log, foundFull: map[uint32]bool{}}
 	if n.log == nil {
 		n.log = &log.Logger{Handler: discard.Default, Level: log.FatalLevel}
 	}
