--- a/ownership/assign.go
+++ b/ownership/assign.go
@@ -7,7 +7,7 @@
 )
 
 // maxEntries bounds the table: past it, ranges are reassigned whole. 256
-// entries of 16 members stay below 30 KB in the store.
+// entries of 10 members stay below 30 KB in the store.
 const maxEntries = 256
 
 // compactAt is the number of entries above which neighbours are joined.
@@ -53,7 +53,7 @@
 func overlay(entries []core.Entry, e core.Entry) []core.Entry {
 	out := make([]core.Entry, 0, len(entries)+2)
 	for _, x := range entries {
-		for _, r := range subtract(x.Range, e.Range) {
+		for _, r := range x.Range.Subtract(e.Range) {
 			out = append(out, core.Entry{Range: r, Owner: x.Owner, Token: x.Token})
 		}
 	}
@@ -80,39 +80,19 @@
 	return out
 }
 
-// subtract returns the parts of r outside cut.
-func subtract(r, cut core.Range) []core.Range {
-	if !r.Overlaps(cut) {
-		return []core.Range{r}
-	}
-	var out []core.Range
-	if r.Lo < cut.Lo {
-		out = append(out, core.Range{Lo: r.Lo, Hi: cut.Lo - 1})
-	}
-	if cut.Hi < r.Hi {
-		out = append(out, core.Range{Lo: cut.Hi + 1, Hi: r.Hi})
-	}
-	return out
-}
-
 // without returns the parts of r outside the given hashes.
 func without(r core.Range, hashes []core.Hash) []core.Range {
 	out := []core.Range{r}
 	for _, h := range hashes {
 		var next []core.Range
 		for _, x := range out {
-			next = append(next, subtract(x, core.Range{Lo: h, Hi: h})...)
+			next = append(next, x.Subtract(core.Range{Lo: h, Hi: h})...)
 		}
 		out = next
 	}
 	return out
 }
 
-// intersect returns the common part of two overlapping ranges.
-func intersect(a, b core.Range) core.Range {
-	return core.Range{Lo: max(a.Lo, b.Lo), Hi: min(a.Hi, b.Hi)}
-}
-
 // indexOf returns the position of run among the members, or NoOwner.
 func indexOf(t *core.Table, run Run) int {
 	return slices.IndexFunc(t.Members, func(m core.Member) bool { return RunOf(m) == run })
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -125,8 +125,8 @@
 			served := []core.Range{r}
 			for _, mv := range m.moves {
 				if mv.phase == moveStopping && mv.rng.Overlaps(r) {
-					moving = append(moving, intersect(mv.rng, r))
-					served = cut(served, mv.rng)
+					moving = append(moving, mv.rng.Intersect(r))
+					served = core.SubtractAll(served, mv.rng)
 				}
 			}
 			for _, s := range served {
@@ -138,22 +138,13 @@
 	return own, moving
 }
 
-// cut removes r from every range of list.
-func cut(list []core.Range, r core.Range) []core.Range {
-	var out []core.Range
-	for _, x := range list {
-		out = append(out, subtract(x, r)...)
-	}
-	return out
-}
-
 // unreleased returns the parts of e that were not released under its token or
 // a newer one. A delayed table may still name this node as their owner.
 func (m *member) unreleased(e core.Entry) []core.Range {
 	out := []core.Range{e.Range}
 	for _, r := range m.released {
 		if !r.Token.Less(e.Token) {
-			out = cut(out, r.Range)
+			out = core.SubtractAll(out, r.Range)
 		}
 	}
 	return out
--- a/ownership/moves.go
+++ b/ownership/moves.go
@@ -84,7 +84,7 @@
 	}
 	for _, e := range c.table.Entries {
 		if e.Range.Overlaps(r.Range) {
-			n.startMove(e, intersect(e.Range, r.Range), r.To)
+			n.startMove(e, e.Range.Intersect(r.Range), r.To)
 		}
 	}
 }
@@ -127,7 +127,7 @@
 		if !e.Range.Overlaps(r.Range) || ownerOf(c.table, e) != r.From || r.Token.Less(e.Token) {
 			continue
 		}
-		for _, part := range without(intersect(e.Range, r.Range), r.Keep) {
+		for _, part := range without(e.Range.Intersect(r.Range), r.Keep) {
 			if !n.busyRange(part) {
 				n.queue([]assign{{rng: part, to: to}})
 			}
--- a/ownership/sim_test.go
+++ b/ownership/sim_test.go
@@ -310,7 +310,7 @@
 		for _, a := range snap.Own {
 			for _, b := range o.snap.Own {
 				if a.Range.Overlaps(b.Range) {
-					s.failf("%s and %s both serve %x: tokens %v and %v", n.name, o.name, intersect(a.Range, b.Range), a.Token, b.Token)
+					s.failf("%s and %s both serve %x: tokens %v and %v", n.name, o.name, a.Range.Intersect(b.Range), a.Token, b.Token)
 				}
 			}
 		}
@@ -352,13 +352,13 @@
 	for _, h := range prev.Own {
 		rest := []core.Range{h.Range}
 		for _, o := range next.Own {
-			rest = cut(rest, o.Range)
+			rest = core.SubtractAll(rest, o.Range)
 		}
 		for _, r := range next.Moving {
-			rest = cut(rest, r)
+			rest = core.SubtractAll(rest, r)
 		}
 		for _, r := range n.node.m.released {
-			rest = cut(rest, r.Range)
+			rest = core.SubtractAll(rest, r.Range)
 		}
 		if len(rest) > 0 {
 			s.failf("%s lost %x under an unexpired lease without releasing it (table %v -> %v)", n.name, rest, prev.Table.Version, next.Table.Version)
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -138,8 +138,8 @@
 				rest = append(rest, f)
 				continue
 			}
-			list = append(list, assign{rng: intersect(f.rng, h.Range), to: i.run, keep: h.Token})
-			for _, r := range subtract(f.rng, h.Range) {
+			list = append(list, assign{rng: f.rng.Intersect(h.Range), to: i.run, keep: h.Token})
+			for _, r := range f.rng.Subtract(h.Range) {
 				rest = append(rest, frozen{rng: r, owner: f.owner})
 			}
 			if f.owner != i.run {
--- a/ownership/writes.go
+++ b/ownership/writes.go
@@ -126,10 +126,10 @@
 		}
 		parts := []core.Range{e.Range}
 		for _, f := range c.frozen {
-			parts = cut(parts, f.rng)
+			parts = core.SubtractAll(parts, f.rng)
 		}
 		for _, v := range c.vacant {
-			parts = cut(parts, v)
+			parts = core.SubtractAll(parts, v)
 		}
 		out = append(out, parts...)
 	}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxReports bounds the members whose exports are kept: a group holds 16,
+	// maxReports bounds the members whose exports are kept: a group holds 10,
 	// and members that were just replaced stay until their exports age out.
 	maxReports = 128
 	// reportLifetime is how long an export counts. The load of a lost member
--- a/routing/view.go
+++ b/routing/view.go
@@ -46,7 +46,7 @@
 }
 
 // maxFloors bounds the versions remembered for groups that were removed. It
-// exceeds the 225 groups that 3,600 nodes form.
+// exceeds the 360 groups that 3,600 nodes form.
 const maxFloors = 1024
 
 type floor struct {
--- a/store/duty.go
+++ b/store/duty.go
@@ -20,7 +20,7 @@
 	CallsPerSecond float64
 	Burst          int
 	// UrgentPerSecond and UrgentBurst form the separate budget of urgent calls;
-	// defaults 2 and 10. Only coordinators make urgent calls: 225 of them stay
+	// defaults 2 and 10. Only coordinators make urgent calls: 360 of them at rest make none and stay
 	// within several hundred writes a second.
 	UrgentPerSecond float64
 	UrgentBurst     int
