--- a/lease/lease.go
+++ b/lease/lease.go
@@ -101,7 +101,8 @@
 	defer d.pool.Release()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	// A snapshot may make Publish end ctx; nothing may be stepped after that.
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
--- a/store/duty.go
+++ b/store/duty.go
@@ -20,8 +20,7 @@
 	CallsPerSecond float64
 	Burst          int
 	// UrgentPerSecond and UrgentBurst form the separate budget of urgent calls;
-	// defaults 2 and 10. Only coordinators make urgent calls: 360 of them at rest make none and stay
-	// within several hundred writes a second.
+	// defaults 2 and 10. Only coordinators make urgent calls, and at rest none.
 	UrgentPerSecond float64
 	UrgentBurst     int
 	// Calls and Watches are the sizes of the two worker pools; defaults 4 and
