--- a/capacity/process.go
+++ b/capacity/process.go
@@ -67,12 +67,15 @@
 	return m.at("config-bytes", float64(m.Assumptions.Services)) + m.at("config-history-bytes", history)
 }
 
-// config is a configuration pulled by some members for each change.
-func (m *Model) config(role, carrier string, copies, rate float64) Row {
-	size := m.configuration()
+// config is a node that watches the configuration object, gives it to others or
+// pulls it, for each change. Relayed copies are compressed and hold no history.
+func (m *Model) config(role, carrier string, watched, relayed, rate float64) Row {
+	size, services := m.configuration(), float64(m.Assumptions.Services)
+	relay := m.at("config-relay-bytes", services)
 	return Row{
-		Role: role, Carrier: carrier, State: size, Memory: m.at("config-memory", float64(m.Assumptions.Services)) + size,
-		Messages: 2 * copies * rate, Bytes: copies * rate * m.at("call-bytes", size),
+		Role: role, Carrier: carrier, State: size, Memory: m.at("config-memory", services) + size,
+		Messages: 2 * (watched + relayed) * rate,
+		Bytes:    rate * (watched*m.at("call-bytes", size) + relayed*m.at("call-bytes", relay)),
 	}
 }
 
@@ -81,16 +84,16 @@
 	busy := m.changes() * m.Assumptions.Peak
 	var out []Row
 	for _, x := range []struct {
-		role, carrier string
-		copies, rate  float64
+		role, carrier          string
+		watched, relayed, rate float64
 	}{
-		{"configuration watcher (coordinator)", "configsync, store: one waiting watch for a group", 1, m.changes()},
-		{"configuration receiver (member)", "configsync: pulls the whole object from the coordinator", 1, m.changes()},
-		{"configuration relay (coordinator)", "configsync: watches, and gives the whole object to nine members", 1 + others, m.changes()},
-		{"configuration relay, busiest hour", "configsync: as above", 1 + others, busy},
+		{"configuration watcher (coordinator)", "configsync, store: one waiting watch for a group", 1, 0, m.changes()},
+		{"configuration receiver (member)", "configsync: pulls a compressed copy without history from the coordinator", 0, 1, m.changes()},
+		{"configuration relay (coordinator)", "configsync: watches the whole object, and gives compressed copies to nine members", 1, others, m.changes()},
+		{"configuration relay, busiest hour", "configsync: as above", 1, others, busy},
 	} {
 		m.begin()
-		r := m.config(x.role, x.carrier, x.copies, x.rate)
+		r := m.config(x.role, x.carrier, x.watched, x.relayed, x.rate)
 		out = append(out, m.judge(r, when(r.State > maxValue, "the object exceeds 1 MB")))
 	}
 	return out
@@ -138,11 +141,11 @@
 // wholeRows sums the roles of one process.
 func (m *Model) wholeRows() []Row {
 	peers := float64(m.Fleet.Nodes)/float64(m.Fleet.Regions) - 1
-	whole := func(name string, copies float64) Row {
+	whole := func(name string, watched, relayed float64) Row {
 		m.begin()
 		return m.judge(sum("whole process: "+name+", tables of its region", "sum of group role, entrance, owner's side, configuration, load report, journal, burn and connections",
 			m.groupRole("", name, ""), m.entrance("", m.regionGroups()), m.owner(), m.loadReporter(), m.journal(), m.burn(),
-			m.config("", "", copies, m.changes()), Row{Memory: m.at("connection-memory", peers)}))
+			m.config("", "", watched, relayed, m.changes()), Row{Memory: m.at("connection-memory", peers)}))
 	}
-	return []Row{whole("member", 1), whole("successor", 1), whole("coordinator", float64(m.Assumptions.GroupSize))}
+	return []Row{whole("member", 0, 1), whole("successor", 0, 1), whole("coordinator", 1, float64(m.Assumptions.GroupSize)-1)}
 }
--- a/capacity/slopes/configuration.go
+++ b/capacity/slopes/configuration.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"marjoramshore.example/capacity"
+	"marjoramshore.example/configsync"
 	"marjoramshore.example/core"
 	"marjoramshore.example/intent"
 )
@@ -20,7 +21,9 @@
 				{Kind: "long", Availability: 0.999, LatencyMs: 60_000, LatencyShare: 0.99},
 			}}
 		for j := range 6 {
-			s.Customers = append(s.Customers, intent.Customer{Name: core.Customer("customer-" + strconv.Itoa(j)), Weight: 1 + j})
+			// Names that compress as badly as names do.
+			name := strconv.FormatUint(uint64(core.HashKey(strconv.Itoa(i*6+j))), 36)
+			s.Customers = append(s.Customers, intent.Customer{Name: core.Customer(name[:10]), Weight: 1 + j})
 		}
 		c.Declaration.Services = append(c.Declaration.Services, s)
 	}
@@ -56,6 +59,14 @@
 	if err != nil {
 		return nil, err
 	}
+	relay, err := over(capacity.Slope{Name: "config-relay-bytes", Unit: "bytes", Per: "service", Counted: true}, []int{4, 20, 60},
+		func(n int) (float64, error) {
+			b, err := configsync.Pack(withHistory(declared(n), 64))
+			return float64(len(b)), err
+		})
+	if err != nil {
+		return nil, err
+	}
 	memory, err := over(capacity.Slope{Name: "config-memory", Unit: "bytes", Per: "service"}, []int{4, 20, 60},
 		func(n int) (float64, error) {
 			b, err := json.Marshal(withHistory(declared(n), 64))
@@ -64,5 +75,5 @@
 				return c
 			}), err
 		})
-	return []capacity.Slope{services, history, memory}, err
+	return []capacity.Slope{services, history, relay, memory}, err
 }
--- a/control/report.go
+++ b/control/report.go
@@ -144,6 +144,12 @@
 	limit = min(limit, maxHistory)
 	out := operator.History{Events: c.cfg.Events(ctx, limit)}
 	changes := c.cfg.Current().History
+	if len(changes) == 0 && c.cfg.Current().Revision > 0 {
+		// Only coordinators hold the history; the store has it for all.
+		if stored, _, err := c.read(ctx); err == nil {
+			changes = stored.History
+		}
+	}
 	for i := len(changes) - 1; i >= 0 && len(out.Changes) < limit; i-- {
 		out.Changes = append(out.Changes, changes[i])
 	}
--- a/node/declared.go
+++ b/node/declared.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 
+	"marjoramshore.example/configsync"
 	"marjoramshore.example/core"
 	"marjoramshore.example/intent"
 	"marjoramshore.example/journal"
@@ -31,11 +31,11 @@
 	if err != nil {
 		return intent.Config{}, err
 	}
-	return intent.DecodeConfig(b)
+	return configsync.Unpack(b)
 }
 
 func (n *Node) answerConfig(context.Context, []byte) ([]byte, error) {
-	return json.Marshal(n.config.Current())
+	return configsync.Pack(*n.config.Current())
 }
 
 // applyConfig puts a configuration in force on this node. The lease duty
