Resume the records of a hand-over that did not complete, and check announcements

A hand-over that ended after the lease protocol had given it up left the former owner serving a range whose at-most-once records counted as given away, so that it refused every non-idempotent request of it. The node took limits from an announcement unchecked, while membership held a checked form that nobody used. An entrance that met itself among a group's members went to the store instead of asking another one. Change: knowledge that was given away returns when the range is served under its old token, in place of a message on one error path; the node uses membership's announcement, whose unused tracker is gone; the fetcher skips itself.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -16,41 +16,29 @@
 	return core.Member{Node: core.NodeID(name), Incarnation: inc, DataCentre: core.DataCentre(dc)}
 }
 
-// TestAnnouncements guards against a stale or contradictory announcement being
-// taken for the limits of a running backend server.
+// TestAnnouncements guards against limits of a backend server that are taken
+// over although they cannot be right, or belong to another service.
 func TestAnnouncements(t *testing.T) {
-	b := Backend{TTL: 3 * time.Second}
-	a := Announcement{Service: "raportit", Incarnation: 1, Slots: 17, Connections: 130}
-	steps := []struct {
+	for _, x := range []struct {
 		change func(*Announcement)
-		want   Change
-		code   core.Code
+		want   core.Code
 	}{
-		{func(*Announcement) {}, Restarted, 0},
-		{func(*Announcement) {}, Unchanged, 0},
-		{func(a *Announcement) { a.Slots = 12 }, Updated, 0},
-		{func(a *Announcement) { a.Incarnation = 2 }, Restarted, 0},
-		{func(a *Announcement) { a.Slots = 0 }, Unchanged, core.CodeInvalid},
-		{func(a *Announcement) { a.Connections = 1 << 20 }, Unchanged, core.CodeInvalid},
-		{func(a *Announcement) { a.Service = "other" }, Unchanged, core.CodeConflict},
-	}
-	now := clock.Instant(time.Hour)
-	for i, s := range steps {
-		next := a
-		s.change(&next)
-		got, err := b.Announce(next, now)
-		must.Eq(t, s.want, got, must.Sprint(fmt.Sprintf("step %d", i)))
-		if s.code != 0 {
-			must.Eq(t, s.code, core.CodeOf(err))
+		{func(*Announcement) {}, 0},
+		{func(a *Announcement) { a.Slots = 0 }, core.CodeInvalid},
+		{func(a *Announcement) { a.Slots = -1 }, core.CodeInvalid},
+		{func(a *Announcement) { a.Connections = 1 << 20 }, core.CodeInvalid},
+		{func(a *Announcement) { a.Service = "" }, core.CodeInvalid},
+		{func(a *Announcement) { a.Service = "other" }, core.CodeConflict},
+	} {
+		a := Announcement{Service: "raportit", Slots: 17, Connections: 130}
+		x.change(&a)
+		err := a.Check("raportit")
+		if x.want == 0 {
+			must.NoError(t, err)
 			continue
 		}
-		must.NoError(t, err)
-		a = next
+		must.Eq(t, x.want, core.CodeOf(err))
 	}
-	_, ok := b.Current(now.Add(2 * time.Second))
-	must.True(t, ok)
-	_, ok = b.Current(now.Add(3 * time.Second))
-	must.False(t, ok)
 }
 
 // TestDamping guards against a bouncing node that gets ranges each time, and
--- a/node/backend.go
+++ b/node/backend.go
@@ -26,14 +26,6 @@
 	probeTimeout = 500 * time.Millisecond
 )
 
-// announcement is what a backend server says of itself.
-type announcement struct {
-	Service      core.Service `json:"service"`
-	Slots        int          `json:"slots"`
-	Connections  int          `json:"connections"`
-	ChecksTokens bool         `json:"checks_tokens"`
-}
-
 // prober is the duty that follows the backend server: it waits for the first
 // announcement, starts the lease duty, and then probes.
 type prober struct {
@@ -68,10 +60,9 @@
 func (p *prober) await(ctx context.Context) {
 	a, err := p.announcement(ctx)
 	if err != nil {
-		return
-	}
-	if a.Service != p.n.cfg.Service {
-		p.n.log.WithFields(fields{"announced": a.Service, "expected": p.n.cfg.Service}).Error("backend server of another service")
+		if code := core.CodeOf(err); code == core.CodeInvalid || code == core.CodeConflict {
+			p.n.log.WithError(err).Error("announcement refused")
+		}
 		return
 	}
 	if !p.n.chooseGroup(ctx) {
@@ -96,7 +87,7 @@
 		}
 		p.alive = false
 	case !p.alive && err == nil:
-		if a, err := p.announcement(ctx); err == nil && a.Service == p.n.cfg.Service {
+		if a, err := p.announcement(ctx); err == nil {
 			p.alive = true
 			p.n.owner.Resize(a.Slots, a.Connections)
 			p.n.owner.Restarted()
@@ -115,8 +106,8 @@
 	return resp.StatusCode == http.StatusOK, nil
 }
 
-func (p *prober) announcement(ctx context.Context) (announcement, error) {
-	var a announcement
+func (p *prober) announcement(ctx context.Context) (membership.Announcement, error) {
+	var a membership.Announcement
 	resp, err := p.get(ctx, announcePath)
 	if err != nil {
 		return a, err
@@ -128,7 +119,7 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnnouncement)).Decode(&a); err != nil {
 		return a, core.Wrap(core.CodeInvalid, err, "announcement")
 	}
-	return a, nil
+	return a, a.Check(p.n.cfg.Service)
 }
 
 func (p *prober) get(ctx context.Context, path string) (*http.Response, error) {
@@ -152,7 +143,7 @@
 }
 
 // join starts the lease duty.
-func (n *Node) join(ctx context.Context, a announcement) {
+func (n *Node) join(ctx context.Context, a membership.Announcement) {
 	n.owner.Resize(a.Slots, a.Connections)
 	self := n.self
 	self.ChecksTokens = a.ChecksTokens
--- a/node/calls.go
+++ b/node/calls.go
@@ -85,11 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := n.sendRecords(ctx, h, t); err != nil {
-		n.owner.Restore(t)
-		return nil, err
-	}
-	return keep, nil
+	return keep, n.sendRecords(ctx, h, t)
 }
 
 // recordsPerCall bounds one part of a transfer. A record takes 51 bytes on the
@@ -126,8 +122,12 @@
 // Fetch implements entrance.Fetcher.
 func (f *fetcher) Fetch(ctx context.Context, g core.GroupID, held *core.Table) (*core.Table, error) {
 	if held != nil {
-		for i, at := range rand.Perm(len(held.Members)) {
-			if i == maxAsked || held.Members[at].SameRun(f.n.self) {
+		asked := 0
+		for _, at := range rand.Perm(len(held.Members)) {
+			if held.Members[at].SameRun(f.n.self) {
+				continue
+			}
+			if asked++; asked > maxAsked {
 				break
 			}
 			t, err := f.ask(ctx, held.Members[at].Address, groupwire.TableRequest{Group: g, Have: held.Version})
--- a/owner/control.go
+++ b/owner/control.go
@@ -29,9 +29,6 @@
 	return h.transfer, h.keep, nil
 }
 
-// Restore takes back a range whose hand-over failed.
-func (o *Owner) Restore(t once.Transfer) { o.send(restore{t}) }
-
 // Accept takes the records of a range that is about to move here. It returns
 // once the records are in place.
 func (o *Owner) Accept(ctx context.Context, r core.Range, t once.Transfer) error {
--- a/owner/duty.go
+++ b/owner/duty.go
@@ -87,9 +87,6 @@
 	keep     []core.Hash
 }
 
-// restore takes back a range whose hand-over failed.
-type restore struct{ transfer once.Transfer }
-
 // accept takes the records of a range that is about to move here.
 type accept struct {
 	rng      core.Range
--- a/owner/knowledge.go
+++ b/owner/knowledge.go
@@ -30,6 +30,13 @@
 	table    *once.Table
 	owned    []ownership.HeldRange
 	imported []imported
+	given    []given
+}
+
+// given is a part of a range whose records were sent to its next owner.
+type given struct {
+	piece once.Piece
+	token core.Token
 }
 
 // follow compares the node's ranges in a new table with those before. A range
@@ -69,6 +76,7 @@
 		}
 	}
 	k.owned = next
+	k.drop(next)
 	for _, h := range next {
 		k.consume(h.Range)
 	}
@@ -108,7 +116,8 @@
 }
 
 // give returns the records of a range that moves away, without the hashes that
-// stay. From here on the range is not known here.
+// stay. From here on the range is not known here, until resume finds that the
+// hand-over did not complete.
 func (k *knowledge) give(r core.Range, keep []core.Hash) once.Transfer {
 	out := k.table.Export(r)
 	left := []core.Range{r}
@@ -117,12 +126,57 @@
 	}
 	for _, x := range left {
 		k.table.Release(x)
+		for _, p := range out.Pieces {
+			k.remember(p, x)
+		}
 	}
 	return out
 }
 
-// restore takes back a range whose hand-over failed.
-func (k *knowledge) restore(wall time.Time, t once.Transfer) { k.table.Import(wall, t) }
+// remember keeps the horizon of the part of p inside x, under its token.
+func (k *knowledge) remember(p once.Piece, x core.Range) {
+	for _, o := range k.owned {
+		if !p.Range.Overlaps(x) || !p.Range.Intersect(x).Overlaps(o.Range) {
+			continue
+		}
+		part := once.Piece{Range: p.Range.Intersect(x).Intersect(o.Range), Horizon: p.Horizon}
+		k.given = append(k.given, given{piece: part, token: o.Token})
+	}
+}
+
+// resume takes back what was given away and is served again under the token of
+// that time: the hand-over failed, or took longer than the lease protocol
+// waits. A range that was released is never served again under its old token.
+func (k *knowledge) resume(own []ownership.HeldRange, wall time.Time) {
+	for _, h := range own {
+		var left []given
+		for _, g := range k.given {
+			if g.token != h.Token || !g.piece.Range.Overlaps(h.Range) {
+				left = append(left, g)
+				continue
+			}
+			back := once.Piece{Range: g.piece.Range.Intersect(h.Range), Horizon: g.piece.Horizon}
+			k.table.Import(wall, once.Transfer{Pieces: []once.Piece{back}})
+			for _, x := range g.piece.Range.Subtract(h.Range) {
+				left = append(left, given{piece: once.Piece{Range: x, Horizon: g.piece.Horizon}, token: g.token})
+			}
+		}
+		k.given = left
+	}
+}
+
+// drop forgets what was given away and is no longer assigned to this node.
+func (k *knowledge) drop(next []ownership.HeldRange) {
+	var left []given
+	for _, g := range k.given {
+		for _, h := range next {
+			if g.token == h.Token && g.piece.Range.Overlaps(h.Range) {
+				left = append(left, given{piece: once.Piece{Range: g.piece.Range.Intersect(h.Range), Horizon: g.piece.Horizon}, token: g.token})
+			}
+		}
+	}
+	k.given = left
+}
 
 func heldBy(t *core.Table, self core.Member) []ownership.HeldRange {
 	var out []ownership.HeldRange
--- a/owner/knowledge_test.go
+++ b/owner/knowledge_test.go
@@ -8,6 +8,7 @@
 
 	"marjoramshore.example/core"
 	"marjoramshore.example/once"
+	"marjoramshore.example/ownership"
 )
 
 var (
@@ -80,3 +81,35 @@
 	k.follow(tableOf(0, 4), self, start.Add(200*time.Millisecond))
 	must.Eq(t, once.NotKnown, begin(k, start.Add(time.Minute), start.Add(-time.Minute)))
 }
+
+// Guards against a range that is served again after a hand-over that failed or
+// came too late, while its at-most-once records count as given away: every
+// non-idempotent request was then refused as not owned.
+func TestHandOverThatDidNotComplete(t *testing.T) {
+	k := newKnowledge()
+	k.follow(tableOf(0, 1), self, start)
+	ran := start.Add(time.Second)
+	must.Eq(t, once.Run, begin(k, ran, ran))
+	k.give(core.FullRange, []core.Hash{7})
+	k.give(core.Range{Lo: 7, Hi: 7}, nil)
+	now := start.Add(2 * time.Second)
+	must.Eq(t, once.NotOwned, begin(k, now, now))
+	held := ownership.HeldRange{Range: core.FullRange, Token: core.Token{Term: 1, Sequence: 1}}
+	k.resume([]ownership.HeldRange{held}, now)
+	must.Eq(t, once.Run, begin(k, now, now))
+	must.Eq(t, once.Duplicate, begin(k, now, ran))
+	must.SliceEmpty(t, k.given)
+}
+
+// Guards against knowledge that returns with a later assignment: another owner
+// served the range in between.
+func TestGivenRangeReturnsUnderANewToken(t *testing.T) {
+	k := newKnowledge()
+	k.follow(tableOf(0, 1), self, start)
+	k.give(core.FullRange, nil)
+	k.follow(tableOf(1, 2), self, start.Add(time.Second))
+	back := start.Add(time.Minute)
+	k.follow(tableOf(0, 3), self, back)
+	k.resume([]ownership.HeldRange{{Range: core.FullRange, Token: core.Token{Term: 1, Sequence: 3}}}, back)
+	must.Eq(t, once.NotKnown, begin(k, back.Add(time.Minute), start.Add(30*time.Second)))
+}
--- a/owner/messages.go
+++ b/owner/messages.go
@@ -112,11 +112,11 @@
 }
 
 func (m lease) apply(d *duty) {
-	if m.snapshot.Table == d.table {
-		return
+	if m.snapshot.Table != d.table {
+		d.table = m.snapshot.Table
+		d.knowledge.follow(d.table, d.cfg.Self, time.Now())
 	}
-	d.table = m.snapshot.Table
-	d.knowledge.follow(d.table, d.cfg.Self, time.Now())
+	d.knowledge.resume(m.snapshot.Own, time.Now())
 }
 
 func (m handOver) apply(d *duty) {
@@ -156,8 +156,6 @@
 	return out
 }
 
-func (m restore) apply(d *duty) { d.knowledge.restore(time.Now(), m.transfer) }
-
 func (m accept) apply(d *duty) {
 	d.knowledge.accept(time.Now(), m.rng, m.transfer)
 	m.reply.Send(struct{}{})
