--- a/capacity/slopes/group.go
+++ b/capacity/slopes/group.go
@@ -43,15 +43,15 @@
 	run func()
 }
 
-type events []event
+type eventQueue []event
 
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
 }
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
 	last := len(*q) - 1
 	x := (*q)[last]
 	*q = (*q)[:last]
@@ -63,7 +63,7 @@
 	id        core.GroupID
 	now       clock.Instant
 	seq       int
-	queue     events
+	queue     eventQueue
 	processes []*process
 	value     []byte
 	version   uint64
--- a/capacity/slopes/load.go
+++ b/capacity/slopes/load.go
@@ -8,7 +8,7 @@
 	"marjoramshore.example/capacity"
 	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
-	"marjoramshore.example/journal"
+	"marjoramshore.example/events"
 	"marjoramshore.example/placement"
 )
 
@@ -79,12 +79,12 @@
 
 // telemetry measures the memory of events and of service levels.
 func telemetry() ([]capacity.Slope, error) {
-	events, err := over(capacity.Slope{Name: "journal-memory", Unit: "bytes", Per: "event"}, []int{256, 1024, 4096},
+	recent, err := over(capacity.Slope{Name: "journal-memory", Unit: "bytes", Per: "event"}, []int{256, 1024, 4096},
 		func(n int) (float64, error) {
-			return held(1, func() *journal.Journal {
-				j := journal.New(journal.DefaultLimits())
+			return held(1, func() *events.Journal {
+				j := events.New(events.DefaultLimits())
 				for i := range n {
-					j.Record(journal.Event{Type: journal.OwnershipChange, At: wall.Add(time.Duration(i) * time.Second), Service: service,
+					j.Record(events.Event{Type: events.OwnershipChange, At: wall.Add(time.Duration(i) * time.Second), Service: service,
 						Node: "hinta-1000", Range: &core.Range{Lo: core.Hash(i), Hi: core.Hash(i + 1)}, Cause: "assignment-written at table 300.70000"})
 				}
 				return j
@@ -105,5 +105,5 @@
 				return m
 			}), nil
 		})
-	return []capacity.Slope{events, levels}, err
+	return []capacity.Slope{recent, levels}, err
 }
--- a/journal/journal_test.go
+++ b/events/events_test.go
@@ -1,4 +1,4 @@
-package journal
+package events
 
 import (
 	"encoding/json"
--- a/node/balance.go
+++ b/node/balance.go
@@ -8,7 +8,7 @@
 
 	"marjoramshore.example/balance"
 	"marjoramshore.example/core"
-	"marjoramshore.example/journal"
+	"marjoramshore.example/events"
 	"marjoramshore.example/membership"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/placement"
@@ -37,11 +37,11 @@
 			return n.lease.Load().Input(ctx, ownership.RequestMove{Range: r, To: to})
 		},
 		Moved: func(r core.Range, to core.Member, why placement.Reason) {
-			n.record(journal.Event{Type: journal.OwnershipChange, Range: &r, Node: to.Node,
+			n.record(events.Event{Type: events.OwnershipChange, Range: &r, Node: to.Node,
 				Revision: n.config.Current().Revision, Cause: "planned move for balance: " + string(why)})
 		},
 		Limited: func(l placement.Limit) {
-			n.record(journal.Event{Type: journal.OwnershipChange, Range: &core.Range{Lo: l.Hash, Hi: l.Hash},
+			n.record(events.Event{Type: events.OwnershipChange, Range: &core.Range{Lo: l.Hash, Hi: l.Hash},
 				Revision: n.config.Current().Revision, Cause: fmt.Sprintf("one key is hotter than an owner's share: load %.0f", l.Load)})
 		},
 	})
--- a/node/declared.go
+++ b/node/declared.go
@@ -6,8 +6,8 @@
 
 	"marjoramshore.example/configsync"
 	"marjoramshore.example/core"
+	"marjoramshore.example/events"
 	"marjoramshore.example/intent"
-	"marjoramshore.example/journal"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/suspect"
 )
@@ -65,7 +65,7 @@
 	if err := n.applyRevision(ctx, c.Revision, declaredDrain(own, n.cfg.Node), declaredDrain(was, n.cfg.Node)); err != nil {
 		return err
 	}
-	n.record(journal.Event{Type: journal.Configuration, Revision: c.Revision, Cause: "revision " + strconv.FormatUint(uint64(c.Revision), 10) + " in force"})
+	n.record(events.Event{Type: events.Configuration, Revision: c.Revision, Cause: "revision " + strconv.FormatUint(uint64(c.Revision), 10) + " in force"})
 	return nil
 }
 
--- a/node/events.go
+++ b/node/events.go
@@ -8,8 +8,8 @@
 	"github.com/apex/log"
 
 	"marjoramshore.example/core"
+	"marjoramshore.example/events"
 	"marjoramshore.example/health"
-	"marjoramshore.example/journal"
 	"marjoramshore.example/operator"
 	"marjoramshore.example/ownership"
 	"marjoramshore.example/ring"
@@ -19,15 +19,15 @@
 // fields are the key=value pairs of one log line.
 type fields = log.Fields
 
-// events bounds queued events and queries; the oldest go, as telemetry must
+// eventQueue bounds queued events and queries; the oldest go, as telemetry must
 // not delay anything.
-const events = 512
+const eventQueue = 512
 
 // eventMessage is one event, or a query when reply is set.
 type eventMessage struct {
-	event journal.Event
-	query journal.Query
-	reply ring.Reply[journal.Result]
+	event events.Event
+	query events.Query
+	reply ring.Reply[events.Result]
 	ask   bool
 }
 
@@ -35,11 +35,11 @@
 type eventDuty struct{ in *ring.Ring[eventMessage] }
 
 func newEventDuty() *eventDuty {
-	return &eventDuty{in: ring.New[eventMessage]("journal", events, ring.DropOldest)}
+	return &eventDuty{in: ring.New[eventMessage]("journal", eventQueue, ring.DropOldest)}
 }
 
 func (d *eventDuty) run(ctx context.Context) {
-	j := journal.New(journal.DefaultLimits())
+	j := events.New(events.DefaultLimits())
 	ring.Duty(ctx, d.in, 0, func(m eventMessage) {
 		if m.ask {
 			m.reply.Send(j.Query(m.query))
@@ -50,13 +50,13 @@
 }
 
 // record journals and logs one event.
-func (n *Node) record(e journal.Event) {
+func (n *Node) record(e events.Event) {
 	e.At, e.Service, e.Node = time.Now(), n.cfg.Service, or2(e.Node, n.cfg.Node)
 	f := fields{"cause": e.Cause, "node": e.Node, "term": e.Term, "revision": e.Revision}
 	if e.Range != nil {
 		f["range"] = rangeText(*e.Range)
 	}
-	if e.Type != journal.RefusalBurst {
+	if e.Type != events.RefusalBurst {
 		n.log.WithFields(f).Info(string(e.Type))
 	}
 	_ = n.journal.in.Push(context.Background(), eventMessage{event: e})
@@ -71,28 +71,28 @@
 
 func rangeText(r core.Range) string { return fmt.Sprintf("%016x-%016x", uint64(r.Lo), uint64(r.Hi)) }
 
-var ownershipTypes = map[ownership.EventKind]journal.Type{
-	ownership.EventTakeover:      journal.Takeover,
-	ownership.EventSteppedDown:   journal.Takeover,
-	ownership.EventActing:        journal.Takeover,
-	ownership.EventActingEnded:   journal.Takeover,
-	ownership.EventSuccessors:    journal.Takeover,
-	ownership.EventJoined:        journal.NodeJoined,
-	ownership.EventLost:          journal.NodeLeft,
-	ownership.EventLeft:          journal.NodeLeft,
-	ownership.EventDrainAccepted: journal.Drain,
+var ownershipTypes = map[ownership.EventKind]events.Type{
+	ownership.EventTakeover:      events.Takeover,
+	ownership.EventSteppedDown:   events.Takeover,
+	ownership.EventActing:        events.Takeover,
+	ownership.EventActingEnded:   events.Takeover,
+	ownership.EventSuccessors:    events.Takeover,
+	ownership.EventJoined:        events.NodeJoined,
+	ownership.EventLost:          events.NodeLeft,
+	ownership.EventLeft:          events.NodeLeft,
+	ownership.EventDrainAccepted: events.Drain,
 }
 
 // recordOwnership takes an event of the lease protocol.
 func (n *Node) recordOwnership(e ownership.Event) {
 	t, ok := ownershipTypes[e.Kind]
 	if !ok {
-		t = journal.OwnershipChange
+		t = events.OwnershipChange
 	}
 	if e.Kind == ownership.EventLost {
 		n.damper.Lost(core.Member{Node: e.Subject.Node, Incarnation: e.Subject.Incarnation}, n.clock.Now())
 	}
-	out := journal.Event{Type: t, Group: n.number.Load(), Node: e.Subject.Node, Term: e.Term, Revision: e.Revision,
+	out := events.Event{Type: t, Group: n.number.Load(), Node: e.Subject.Node, Term: e.Term, Revision: e.Revision,
 		Cause: string(e.Kind) + " at table " + tokenText(e.Table)}
 	if e.Range != (core.Range{}) {
 		out.Range = &e.Range
@@ -103,24 +103,24 @@
 func tokenText(t core.Token) string { return fmt.Sprintf("%d.%d", t.Term, t.Sequence) }
 
 func (n *Node) recordHealth(s health.State, r health.Reason) {
-	n.record(journal.Event{Type: journal.BackendHealth, Revision: n.config.Current().Revision, Cause: s.String() + ": " + r.String()})
+	n.record(events.Event{Type: events.BackendHealth, Revision: n.config.Current().Revision, Cause: s.String() + ": " + r.String()})
 }
 
 func (n *Node) recordQuarantine(f suspect.Fingerprint) {
-	n.record(journal.Event{Type: journal.Quarantine, Revision: n.config.Current().Revision,
+	n.record(events.Event{Type: events.Quarantine, Revision: n.config.Current().Revision,
 		Cause: fmt.Sprintf("fingerprint %016x was in flight at deaths of backend servers", uint64(f))})
 }
 
 // recordRefusal journals a refusal; equal ones fold into one event.
 func (n *Node) recordRefusal(req *core.Request, code core.Code) {
 	h := req.Hash()
-	n.record(journal.Event{Type: journal.RefusalBurst, Customer: req.Customer, Code: code, Reason: code.String(),
+	n.record(events.Event{Type: events.RefusalBurst, Customer: req.Customer, Code: code, Reason: code.String(),
 		Range: &core.Range{Lo: h, Hi: h}, Revision: n.config.Current().Revision, Cause: "refused: " + code.String()})
 }
 
 // askJournal runs a query on the journal duty.
-func (n *Node) askJournal(ctx context.Context, q journal.Query) []operator.Event {
-	reply := ring.NewReply[journal.Result]()
+func (n *Node) askJournal(ctx context.Context, q events.Query) []operator.Event {
+	reply := ring.NewReply[events.Result]()
 	if n.journal.in.Push(ctx, eventMessage{query: q, reply: reply, ask: true}) != nil {
 		return nil
 	}
@@ -133,20 +133,20 @@
 }
 
 func (n *Node) latestEvents(ctx context.Context, limit int) []operator.Event {
-	return n.askJournal(ctx, journal.Query{Limit: limit, Newest: true})
+	return n.askJournal(ctx, events.Query{Limit: limit, Newest: true})
 }
 
 // eventsOf returns the latest events about one key, oldest first.
 func (n *Node) eventsOf(ctx context.Context, h core.Hash) []operator.Event {
 	const latest = 20
-	list := n.askJournal(ctx, journal.Query{Range: &core.Range{Lo: h, Hi: h}, Limit: latest, Newest: true})
+	list := n.askJournal(ctx, events.Query{Range: &core.Range{Lo: h, Hi: h}, Limit: latest, Newest: true})
 	for i, j := 0, len(list)-1; i < j; i, j = i+1, j-1 {
 		list[i], list[j] = list[j], list[i]
 	}
 	return list
 }
 
-func operatorEvent(e journal.Event) operator.Event {
+func operatorEvent(e events.Event) operator.Event {
 	out := operator.Event{AtMs: e.At.UnixMilli(), Kind: string(e.Type), Service: e.Service, Cause: e.Cause,
 		Revision: e.Revision, Term: e.Term, Detail: map[string]string{"node": string(e.Node)}}
 	if e.Range != nil {
