Separate the meaning of header fields from the frontend and the gate

The frontend and the gate decided from this project's own header names, so a second protocol could only be served by a copy of both. Each now takes a Dialect; the existing names became its default. The gate skips a response to an earlier request of the connection, and can bound unacknowledged bytes. Ruled out: a wrapper that rewrites heads, which would parse each twice.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -38,6 +38,12 @@
 // UnknownLength marks a body whose length is not known in advance.
 const UnknownLength = -1
 
+// Head is the head of a request, free of any HTTP library.
+type Head struct {
+	Method, Path string
+	Fields       []Field
+}
+
 // Request is one request of a caller.
 type Request struct {
 	// ID is unique for each exchange and appears in logs and in the answer.
@@ -56,6 +62,15 @@
 	Deadline time.Time
 	// Attempt counts forwards by nodes, starting at 1.
 	Attempt int
+	// Target is the wall time up to which an answer has its full worth, or zero.
+	Target time.Time
+	// Priority ranks requests of one service; 0 is the highest.
+	Priority int
+	// Instance names the run of a backend server that is to serve the request,
+	// or is empty when any may.
+	Instance string
+	// Origin is the service of the VM on which the request began, or empty.
+	Origin Service
 
 	Method string
 	Path   string
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -45,31 +45,13 @@
 	return nil
 }
 
-func (a *answer) set(name, value string) {
-	a.fields = append(a.fields, core.Field{Name: name, Value: value})
-}
-
 // relay passes a backend server's response on.
 func (a *answer) relay(r *core.Response) {
 	defer func() { _ = r.Body.Close() }()
-	for _, f := range core.EndToEnd(r.Header) {
-		if !answerFields[f.Name] {
-			a.fields = append(a.fields, f)
-		}
-	}
-	a.set(HeaderOutcome, string(core.OutcomeAnswered))
-	a.set(HeaderRequestID, a.x.req.ID)
-	if r.Owner != "" {
-		a.set(HeaderOwner, r.Owner)
-	}
+	a.fields = a.x.f.cfg.Dialect.Success(a.x.req, r, core.EndToEnd(r.Header))
 	a.write(r.Status, r.Length, r.Body)
 }
 
-// answerFields are set here and taken from nobody else.
-var answerFields = map[string]bool{
-	HeaderOutcome: true, HeaderReason: true, HeaderRequestID: true, HeaderOwner: true,
-}
-
 // write sends the head and streams the body.
 func (a *answer) write(status int, length int64, body io.Reader) {
 	req := &a.x.rc.Request.Header
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -27,6 +27,8 @@
 	Addr string
 	// Handler serves the exchanges.
 	Handler core.Handler
+	// Dialect gives the heads their meaning; that of this package.
+	Dialect Dialect
 	// TLS serves HTTPS when set.
 	TLS *tls.Config
 	// MaxConns bounds callers' connections; 4096.
@@ -67,6 +69,9 @@
 	setTime(&c.HeaderTimeout, 10*time.Second)
 	setTime(&c.IdleTimeout, 60*time.Second)
 	setTime(&c.BodyIdleTimeout, 30*time.Second)
+	if c.Dialect == nil {
+		c.Dialect = native{}
+	}
 	if c.MinBodyRate <= 0 {
 		c.MinBodyRate = 1024
 	}
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -35,7 +35,7 @@
 	x.out = newAnswer(x)
 	defer f.running.Add(-1)
 	n := f.running.Add(1)
-	req, err := Parse(readHead(&rc.Request.Header), time.Now())
+	req, err := f.cfg.Dialect.Parse(readHead(&rc.Request.Header), time.Now())
 	x.req = req
 	if ferr := x.framing(); err == nil {
 		err = ferr
@@ -111,18 +111,9 @@
 	if e.Code.Outcome() == core.OutcomeBadRequest {
 		x.f.counts.bad.Add(1)
 	}
-	x.out.set(HeaderOutcome, string(e.Code.Outcome()))
-	x.out.set(HeaderReason, e.Code.String())
-	x.out.set(HeaderRequestID, x.req.ID)
-	if e.Owner != "" {
-		x.out.set(HeaderOwner, e.Owner)
-	}
-	if e.RetryAfter > 0 {
-		x.out.set("Retry-After", retryAfter(e.RetryAfter))
-	}
-	x.out.set("Content-Type", "application/json")
-	text := encodeFailure(e, x.req.ID)
-	x.out.write(StatusOf(e.Code), int64(len(text)), bytes.NewReader(text))
+	r := x.f.cfg.Dialect.Failure(x.req, e)
+	x.out.fields = r.Fields
+	x.out.write(r.Status, int64(len(r.Body)), bytes.NewReader(r.Body))
 }
 
 // finish leaves the connection to hertz with nothing reading it.
--- a/frontend/parse.go
+++ b/frontend/parse.go
@@ -43,15 +43,9 @@
 	maxDeadline       = 24 * time.Hour
 )
 
-// Head is the head of a caller's request, free of any HTTP library.
-type Head struct {
-	Method, Path string
-	Fields       []core.Field
-}
-
 // Parse turns a head into a request without a body. Every failure has
 // CodeInvalid; the request then still carries the id for the answer.
-func Parse(h Head, now time.Time) (*core.Request, error) {
+func Parse(h core.Head, now time.Time) (*core.Request, error) {
 	req := &core.Request{Method: h.Method, Path: h.Path, Body: core.NoBody}
 	p := parser{own: make(map[string]string, 8), req: req}
 	p.split(h.Fields)
@@ -112,7 +106,7 @@
 	p.req.ID = id
 }
 
-func (p *parser) target(h Head) {
+func (p *parser) target(h core.Head) {
 	if !httpguts.ValidHeaderFieldName(h.Method) || len(h.Method) > maxName {
 		p.fail("bad method")
 	}
--- a/gate/encode.go
+++ b/gate/encode.go
@@ -31,7 +31,7 @@
 const reservedPrefix = "Marjoram-"
 
 // encode builds the HTTP request, apart from what the permit adds.
-func encode(req *core.Request, body io.Reader, length int64) (*http.Request, error) {
+func (g *Gate) encode(req *core.Request, body io.Reader, length int64) (*http.Request, error) {
 	u, err := url.ParseRequestURI(req.Path)
 	if err != nil {
 		return nil, core.Wrap(core.CodeInvalid, err, "request path")
@@ -48,12 +48,12 @@
 		switch {
 		case f.Name == "Host":
 			hr.Host = f.Value
-		case strings.HasPrefix(f.Name, reservedPrefix), f.Name == HeaderIdempotencyKey:
+		case g.cfg.Dialect.Reserved(f.Name):
 		default:
 			h[f.Name] = append(h[f.Name], f.Value)
 		}
 	}
-	setOwn(h, req)
+	g.cfg.Dialect.Describe(h, req)
 	if length != 0 {
 		hr.Body = io.NopCloser(body)
 	}
@@ -63,7 +63,19 @@
 	return hr, nil
 }
 
-func setOwn(h http.Header, req *core.Request) {
+// native is the protocol described in the package documentation.
+type native struct{}
+
+// Reserved implements Dialect.
+func (native) Reserved(name string) bool {
+	return strings.HasPrefix(name, reservedPrefix) || name == HeaderIdempotencyKey
+}
+
+// Answers implements Dialect.
+func (native) Answers(*core.Request, int, http.Header) bool { return true }
+
+// Describe implements Dialect.
+func (native) Describe(h http.Header, req *core.Request) {
 	set := func(name, value string) {
 		if value != "" {
 			h[name] = []string{value}
@@ -86,8 +98,8 @@
 
 var kindNames = map[core.Kind]string{core.KindShort: "short", core.KindLong: "long"}
 
-// stamp adds the permit and the time left. It runs right before the write.
-func stamp(h http.Header, req *core.Request, p Permit) {
+// Stamp implements Dialect: it adds the permit and the time left.
+func (native) Stamp(h http.Header, req *core.Request, p Permit) {
 	if !req.Deadline.IsZero() {
 		h[HeaderDeadline] = []string{strconv.FormatInt(max(1, time.Until(req.Deadline).Milliseconds()), 10)}
 	}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -22,6 +22,16 @@
 
 func (*HeadTooLargeError) Error() string { return "response head too large" }
 
+// maxSkipped bounds the body of a response to an earlier request that is read
+// to reach the next response; 256 KiB takes milliseconds on a local link.
+const maxSkipped = 256 << 10
+
+// StrayResponseError reports a response to an earlier request after which the
+// connection cannot be used.
+type StrayResponseError struct{}
+
+func (*StrayResponseError) Error() string { return "response to an earlier request" }
+
 // exchange is the state of one request on one connection.
 type exchange struct {
 	g      *Gate
@@ -59,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	hr, err := encode(req, body, req.Length)
+	hr, err := g.encode(req, body, req.Length)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +128,7 @@
 			return core.Fail(core.CodeLeaseExpired, "lease ended before the request was sent")
 		}
 	}
-	stamp(x.hr.Header, x.req, p)
+	x.g.cfg.Dialect.Stamp(x.hr.Header, x.req, p)
 	return nil
 }
 
@@ -191,7 +201,13 @@
 			return nil, err
 		}
 		if resp.StatusCode >= 200 {
-			return resp, nil
+			if x.g.cfg.Dialect.Answers(x.req, resp.StatusCode, resp.Header) {
+				return resp, nil
+			}
+			if err := x.skip(resp); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, core.Fail(core.CodeUnknown, "backend server switched protocols")
@@ -199,6 +215,21 @@
 	}
 }
 
+// skip drops a late response to an earlier request of the connection.
+func (x *exchange) skip(resp *http.Response) error {
+	x.g.counts.late.Add(1)
+	x.c.headLeft = -1
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkipped+1))
+	switch {
+	case err != nil:
+		return err
+	case n > maxSkipped || resp.Close:
+		return &StrayResponseError{}
+	}
+	x.c.headLeft = x.g.cfg.MaxHeaderBytes
+	return nil
+}
+
 // abandon ends the exchange without a response.
 func (x *exchange) abandon(cause error) error {
 	_ = x.c.Close()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,21 @@
 	LeaseLeft time.Duration
 }
 
+// Dialect writes the header fields that a gate adds to requests, and tells
+// whose answer a response is.
+type Dialect interface {
+	// Reserved reports whether a field of the caller is dropped.
+	Reserved(name string) bool
+	// Describe adds the fields that are known in advance.
+	Describe(h http.Header, req *core.Request)
+	// Stamp adds the fields that depend on the moment of sending. It runs right
+	// before the first byte is written.
+	Stamp(h http.Header, req *core.Request, p Permit)
+	// Answers reports whether a response answers req. A backend server may
+	// send a second response to an earlier request of the connection.
+	Answers(req *core.Request, status int, h http.Header) bool
+}
+
 // Config sets up a Gate. Zero limits take the defaults given with each field.
 type Config struct {
 	// BackendAddr is the host:port of the backend server.
@@ -25,6 +41,12 @@
 	// Permit is called at the last instant before the first byte is written.
 	// A failure refuses the request, which has not run. Nil permits all.
 	Permit func(req *core.Request) (Permit, error)
+	// Dialect is the protocol spoken to the backend server; that of this
+	// package.
+	Dialect Dialect
+	// UserTimeout bounds how long sent bytes stay unacknowledged before the
+	// connection counts as lost; 0 leaves it to the operating system.
+	UserTimeout time.Duration
 	// MaxConns bounds open connections; 256.
 	MaxConns int
 	// ConnWait bounds the wait for a connection when all are in use; 1 s.
@@ -39,6 +61,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Dialect == nil {
+		c.Dialect = native{}
+	}
 	if c.MaxConns <= 0 {
 		c.MaxConns = 256
 	}
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"marjoramshore.example/core"
 )
 
@@ -86,7 +87,7 @@
 
 func newConnPool(cfg Config, counts *counters) *connPool {
 	return &connPool{
-		cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout},
+		cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout, Control: userTimeout(cfg.UserTimeout)},
 		slots: make(chan struct{}, cfg.MaxConns), idle: make(chan *conn, cfg.MaxConns),
 		done: make(chan struct{}), empty: make(chan struct{}), counts: counts,
 	}
@@ -208,3 +209,21 @@
 		}
 	}
 }
+
+// userTimeout returns a control function for dialers that sets
+// TCP_USER_TIMEOUT, or nil for a limit of zero.
+func userTimeout(limit time.Duration) func(string, string, syscall.RawConn) error {
+	if limit <= 0 {
+		return nil
+	}
+	return func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		cerr := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if cerr != nil {
+			return cerr
+		}
+		return err
+	}
+}
