--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,56 @@
+package routes
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"marjoramshore.example/core"
+)
+
+func one(s core.Service) []Part { return []Part{{Service: s, Weight: 1}} }
+
+// Guards against a request that goes to a shorter prefix, to another host's
+// route, or to a prefix that ends inside a path segment.
+func TestMatchLongestPrefix(t *testing.T) {
+	table := Compile(Config{Routes: []Route{
+		{Name: "all", Host: "a", Prefix: "/", Parts: one("x")},
+		{Name: "long", Host: "a", Prefix: "/p/q/", Parts: one("y")},
+		{Name: "short", Host: "a", Prefix: "/p/", Parts: one("x")},
+		{Name: "other", Host: "b", Prefix: "/p/", Parts: one("x")},
+	}})
+	for target, name := range map[string]string{
+		"/p/q/1": "long", "/p/q/": "long", "/p/q": "short", "/p/1?x=/p/q/": "short",
+		"/pq/1": "all", "/": "all",
+	} {
+		c, ok := table.Match("a", target)
+		must.True(t, ok, must.Sprint(target))
+		must.Eq(t, name, c.Name, must.Sprint(target))
+	}
+	_, ok := table.Match("b", "/q")
+	must.False(t, ok)
+	_, ok = table.Match("c", "/p/1")
+	must.False(t, ok)
+}
+
+// Guards against parts that get less or more than their weight within a few
+// dozen requests.
+func TestPickFollowsWeights(t *testing.T) {
+	table := Compile(Config{Routes: []Route{{Host: "a", Prefix: "/", Parts: []Part{{"x", 90}, {"y", 10}}}}})
+	c, _ := table.Match("a", "/")
+	got := map[core.Service]int{}
+	for range 100 {
+		got[c.Pick()]++
+	}
+	must.Between(t, 87, got["x"], 93)
+	must.Eq(t, 100, got["x"]+got["y"])
+}
+
+// Guards against a configuration that is replaced by an older one.
+func TestInForceNeverGoesBack(t *testing.T) {
+	var f InForce
+	must.Nil(t, f.Load())
+	must.True(t, f.Offer(Compile(Config{Version: 7})))
+	must.False(t, f.Offer(Compile(Config{Version: 6})))
+	must.False(t, f.Offer(Compile(Config{Version: 7})))
+	must.Eq(t, 7, f.Load().Version)
+}
