--- /dev/null
+++ b/shards/election.go
@@ -0,0 +1,75 @@
+package shards
+
+import (
+	"time"
+
+	"marjoramshore.example/clock"
+)
+
+const (
+	// silence is how long a coordinator may fail to answer before another node
+	// takes over; three reports fit into it.
+	silence = 1300 * time.Millisecond
+	// cutOff is how long a coordinator may go without access to the record
+	// before a node that has access takes over.
+	cutOff = 3 * time.Second
+	// turn separates the candidates, so that the first one has written the
+	// record before the second one tries: a write takes milliseconds.
+	turn = 300 * time.Millisecond
+)
+
+// Sight is what a candidate knows of the coordinator.
+type Sight struct {
+	// Recorded is false while the record does not exist.
+	Recorded bool
+	// Silent is how long the recorded coordinator was not heard.
+	Silent time.Duration
+	// Ended reports that the process of the recorded coordinator has ended or
+	// is about to.
+	Ended bool
+	// Unconfirmed is how long the coordinator had no access to the record, by
+	// its own account.
+	Unconfirmed time.Duration
+	// Rank is this node's place among the candidates, from 0.
+	Rank int
+	// Heard is the part of the other nodes that this node hears. A node that
+	// is cut off must not take over, since the others are served well.
+	Heard float64
+}
+
+// quorum is the part of the other nodes that a candidate must hear.
+const quorum = 0.4
+
+// Due returns the time after which a candidate may take over, or false while
+// there is no reason to.
+func (s Sight) Due() (time.Duration, bool) {
+	wait := time.Duration(s.Rank) * turn
+	switch {
+	case !s.Recorded:
+		return wait, true
+	case s.Heard < quorum:
+		return 0, false
+	case s.Ended, s.Silent > silence, s.Unconfirmed > cutOff:
+		return wait, true
+	}
+	return 0, false
+}
+
+// Candidate waits its turn to take over.
+type Candidate struct{ since clock.Instant }
+
+// Ready reports whether the candidate should take over now.
+func (c *Candidate) Ready(now clock.Instant, s Sight) bool {
+	wait, due := s.Due()
+	if !due {
+		c.since = 0
+		return false
+	}
+	if c.since == 0 {
+		c.since = now
+	}
+	return now.Sub(c.since) >= wait
+}
+
+// Reset starts the candidate's turn anew after a failed attempt.
+func (c *Candidate) Reset(now clock.Instant) { c.since = now }
