--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,376 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+)
+
+// State is that of a backend server.
+type State uint8
+
+// States.
+const (
+	// Absent means that no run has reported since the node started.
+	Absent State = iota
+	Ready
+	Leaving
+	// Gone means that the last run has ended.
+	Gone
+)
+
+// Entry describes one node and the backend server beside it.
+type Entry struct {
+	Node        core.NodeID      `json:"node"`
+	Incarnation core.Incarnation `json:"incarnation,string"`
+	// Started is the wall time at which the process started, in milliseconds.
+	// It orders the incarnations of a node.
+	Started    int64           `json:"started"`
+	DataCentre core.DataCentre `json:"dc"`
+	// Inbound is where requests for the backend server are sent; Peer is the
+	// address for calls and beacons.
+	Inbound string       `json:"inbound"`
+	Peer    string       `json:"peer"`
+	Service core.Service `json:"service"`
+	// Serial grows with each change within an incarnation.
+	Serial   uint64 `json:"serial"`
+	Instance string `json:"instance"`
+	Born     int64  `json:"born"`
+	State    State  `json:"state"`
+	Slots    int    `json:"slots"`
+	// Stopping is set while the node's own process is about to end.
+	Stopping bool `json:"stopping,omitempty"`
+}
+
+// newer reports whether e replaces o.
+func (e Entry) newer(o Entry) bool {
+	if e.Incarnation != o.Incarnation {
+		return e.Started > o.Started
+	}
+	return e.Serial > o.Serial
+}
+
+// Beacon is what a node sends to the others again and again.
+type Beacon struct {
+	Entry Entry `json:"e"`
+	// Running and Waiting count the requests at the backend server and in the
+	// queue before it.
+	Running int `json:"r"`
+	Waiting int `json:"w"`
+	// ServiceMicros is the mean service time.
+	ServiceMicros int64 `json:"s"`
+	// Config is the version of the configuration in force.
+	Config uint64 `json:"c"`
+	// Tables are the versions of the key tables that the node has.
+	Tables map[core.Service]uint64 `json:"t,omitempty"`
+	// Unconfirmed tells for services that the node coordinates how long it had
+	// no access to the store, in milliseconds.
+	Unconfirmed map[core.Service]int64 `json:"u,omitempty"`
+}
+
+// Load is a peer's load, readable at any time.
+type Load struct {
+	running, waiting, serviceMicros atomic.Int64
+	// Sent counts this node's own requests in flight to the peer.
+	Sent atomic.Int64
+	// failedAt is the last failure to reach the peer.
+	failedAt atomic.Int64
+}
+
+// Set records a load that the peer reported.
+func (l *Load) Set(running, waiting int, service time.Duration) {
+	l.running.Store(int64(running))
+	l.waiting.Store(int64(waiting))
+	if service > 0 {
+		l.serviceMicros.Store(service.Microseconds())
+	}
+}
+
+// Running returns the reported running and waiting requests.
+func (l *Load) Running() (running, waiting int64) { return l.running.Load(), l.waiting.Load() }
+
+// Service returns the reported mean service time, or a default before any.
+func (l *Load) Service() time.Duration {
+	if v := l.serviceMicros.Load(); v > 0 {
+		return time.Duration(v) * time.Microsecond
+	}
+	return defaultService
+}
+
+// defaultService stands for the service time of a backend server that has not
+// served a request yet.
+const defaultService = 50 * time.Millisecond
+
+// Fail records that the peer could not be reached.
+func (l *Load) Fail(now clock.Instant) { l.failedAt.Store(int64(now)) }
+
+// Avoid reports whether the peer failed within the last while.
+func (l *Load) Avoid(now clock.Instant) bool {
+	at := clock.Instant(l.failedAt.Load())
+	return at != 0 && now.Sub(at) < avoidFor
+}
+
+// avoidFor is how long a peer that could not be reached is used last; a process
+// that ended is started again within about a second.
+const avoidFor = 400 * time.Millisecond
+
+// Peer is one node as of one snapshot.
+type Peer struct {
+	Entry
+	// Alive is false when beacons are missing.
+	Alive bool
+	Load  *Load
+}
+
+// Usable reports whether requests may be sent to the peer's backend server.
+func (p *Peer) Usable() bool { return p.Alive && p.State == Ready }
+
+// Snapshot is an immutable view of the fleet.
+type Snapshot struct {
+	Nodes    map[core.NodeID]*Peer
+	Services map[core.Service][]*Peer
+}
+
+const (
+	// lostAfter is the time without beacons after which a node counts as lost.
+	// Beacons come every 500 ms, and single datagrams are lost.
+	lostAfter = 1600 * time.Millisecond
+	// forgetAfter is the time without beacons after which a node no longer
+	// counts as part of the fleet.
+	forgetAfter = 15 * time.Second
+)
+
+type node struct {
+	entry  Entry
+	load   *Load
+	known  clock.Instant // first time this incarnation was known
+	heard  clock.Instant // last beacon, or zero
+	config uint64
+	tables map[core.Service]uint64
+	unconf map[core.Service]int64
+	alive  bool
+}
+
+// View collects entries and beacons. One goroutine owns it.
+type View struct {
+	self  core.NodeID
+	nodes map[core.NodeID]*node
+	dirty bool
+}
+
+// NewView returns a view without nodes.
+func NewView(self core.NodeID) *View {
+	return &View{self: self, nodes: make(map[core.NodeID]*node)}
+}
+
+// Apply takes over an entry. It reports whether the view changed.
+func (v *View) Apply(now clock.Instant, e Entry) bool {
+	if e.Node == "" {
+		return false
+	}
+	n := v.nodes[e.Node]
+	if n == nil {
+		v.nodes[e.Node] = &node{entry: e, load: &Load{}, known: now, alive: true}
+		v.dirty = true
+		return true
+	}
+	if !e.newer(n.entry) {
+		return false
+	}
+	if e.Incarnation != n.entry.Incarnation {
+		n.known, n.heard, n.load = now, 0, &Load{}
+	}
+	n.entry, n.alive = e, true
+	v.dirty = true
+	return true
+}
+
+// Remove forgets a node whose entry was deleted, unless a beacon of the same
+// or a later incarnation still comes.
+func (v *View) Remove(now clock.Instant, id core.NodeID) {
+	n := v.nodes[id]
+	if n == nil || id == v.self || n.heard != 0 && now.Sub(n.heard) < lostAfter {
+		return
+	}
+	delete(v.nodes, id)
+	v.dirty = true
+}
+
+// Hear takes over a beacon.
+func (v *View) Hear(now clock.Instant, b Beacon) {
+	v.Apply(now, b.Entry)
+	n := v.nodes[b.Entry.Node]
+	if n == nil || n.entry.Incarnation != b.Entry.Incarnation {
+		return // from a former incarnation
+	}
+	if !n.alive {
+		n.alive, v.dirty = true, true
+	}
+	n.heard = now
+	n.config, n.tables, n.unconf = b.Config, b.Tables, b.Unconfirmed
+	n.load.Set(b.Running, b.Waiting, time.Duration(b.ServiceMicros)*time.Microsecond)
+}
+
+// Tick marks the nodes whose beacons are missing.
+func (v *View) Tick(now clock.Instant) {
+	for id, n := range v.nodes {
+		if id == v.self {
+			continue
+		}
+		alive := now.Sub(max(n.heard, n.known)) < lostAfter
+		if alive != n.alive {
+			n.alive, v.dirty = alive, true
+		}
+	}
+}
+
+// Snapshot returns a new view when something changed since the last call.
+func (v *View) Snapshot() (*Snapshot, bool) {
+	if !v.dirty {
+		return nil, false
+	}
+	v.dirty = false
+	s := &Snapshot{Nodes: make(map[core.NodeID]*Peer, len(v.nodes)), Services: make(map[core.Service][]*Peer)}
+	for id, n := range v.nodes {
+		p := &Peer{Entry: n.entry, Alive: n.alive, Load: n.load}
+		s.Nodes[id] = p
+		if n.entry.Service != "" {
+			s.Services[n.entry.Service] = append(s.Services[n.entry.Service], p)
+		}
+	}
+	for _, list := range s.Services {
+		slices.SortFunc(list, func(a, b *Peer) int { return cmp.Compare(a.Node, b.Node) })
+	}
+	return s, true
+}
+
+// Heard returns the part of the other nodes of the fleet whose beacons arrive.
+// It is 1 when there are no others.
+func (v *View) Heard(now clock.Instant) float64 {
+	heard, all := 0, 0
+	for id, n := range v.nodes {
+		last := max(n.heard, n.known)
+		if id == v.self || now.Sub(last) > forgetAfter {
+			continue
+		}
+		all++
+		if n.heard != 0 && now.Sub(n.heard) < lostAfter {
+			heard++
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(heard) / float64(all)
+}
+
+// Silent returns how long no beacon of a node's incarnation has arrived, and
+// whether the node runs another incarnation or is stopping.
+func (v *View) Silent(now clock.Instant, id core.NodeID, inc core.Incarnation) (time.Duration, bool) {
+	n := v.nodes[id]
+	if n == nil {
+		return forgetAfter, false
+	}
+	return now.Sub(max(n.heard, n.known)), n.entry.Incarnation != inc || n.entry.Stopping
+}
+
+// Unconfirmed returns how long the coordinator of a service had no access to
+// the store, by its own account.
+func (v *View) Unconfirmed(id core.NodeID, s core.Service) time.Duration {
+	if n := v.nodes[id]; n != nil {
+		return time.Duration(n.unconf[s]) * time.Millisecond
+	}
+	return 0
+}
+
+// Ahead returns a live node that has a newer configuration than version.
+func (v *View) Ahead(version uint64) (Entry, bool) {
+	for id, n := range v.nodes {
+		if id != v.self && n.alive && n.config > version {
+			return n.entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// AheadOf returns a live node that has a newer key table of a service.
+func (v *View) AheadOf(s core.Service, version uint64) (Entry, bool) {
+	for id, n := range v.nodes {
+		if id != v.self && n.alive && n.tables[s] > version {
+			return n.entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Rank returns this node's place among the live candidates to coordinate a
+// service. Nodes of other services come first, so that the loss of a VM seldom
+// takes the coordinator and keys at once.
+func (v *View) Rank(s core.Service) int {
+	own := v.nodes[v.self]
+	if own == nil {
+		return len(v.nodes)
+	}
+	rank := 0
+	for id, n := range v.nodes {
+		if id != v.self && n.alive && !n.entry.Stopping && before(n.entry, own.entry, s) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func before(a, b Entry, s core.Service) bool {
+	if (a.Service == s) != (b.Service == s) {
+		return a.Service != s
+	}
+	return a.Node < b.Node
+}
+
+// Peers calls f for each other node of the fleet.
+func (v *View) Peers(now clock.Instant, f func(Entry)) {
+	for id, n := range v.nodes {
+		if id != v.self && now.Sub(max(n.heard, n.known)) < forgetAfter {
+			f(n.entry)
+		}
+	}
+}
+
+// Stale returns the nodes that have been silent for a time.
+func (v *View) Stale(now clock.Instant, after time.Duration) []core.NodeID {
+	var out []core.NodeID
+	for id, n := range v.nodes {
+		if id != v.self && now.Sub(max(n.heard, n.known)) > after {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Known reports whether a node is part of the view.
+func (v *View) Known(id core.NodeID) bool { return v.nodes[id] != nil }
+
+// Entry returns the entry of a node.
+func (v *View) Entry(id core.NodeID) (Entry, bool) {
+	n := v.nodes[id]
+	if n == nil {
+		return Entry{}, false
+	}
+	return n.entry, true
+}
+
+// Size returns the number of nodes of the fleet, this one included.
+func (v *View) Size(now clock.Instant) int {
+	size := 0
+	for id, n := range v.nodes {
+		if id == v.self || now.Sub(max(n.heard, n.known)) < forgetAfter {
+			size++
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+)
+
+const start = clock.Instant(time.Hour)
+
+func entry(id string, inc uint64, started int64, serial uint64) Entry {
+	return Entry{Node: core.NodeID(id), Incarnation: core.Incarnation(inc), Started: started, Serial: serial, Service: "s", State: Ready}
+}
+
+// Guards against an entry of a former incarnation that replaces a later one.
+func TestEntriesNeverGoBack(t *testing.T) {
+	v := NewView("me")
+	must.True(t, v.Apply(start, entry("a", 1, 10, 1)))
+	must.True(t, v.Apply(start, entry("a", 1, 10, 2)))
+	must.False(t, v.Apply(start, entry("a", 1, 10, 1)))
+	must.True(t, v.Apply(start, entry("a", 9, 20, 1)))
+	must.False(t, v.Apply(start, entry("a", 1, 10, 3)))
+	s, ok := v.Snapshot()
+	must.True(t, ok)
+	must.Eq(t, core.Incarnation(9), s.Nodes["a"].Incarnation)
+}
+
+// Guards against requests to a node whose beacons are missing, and against one
+// that is not used again after it is back.
+func TestLiveness(t *testing.T) {
+	v := NewView("me")
+	v.Hear(start, Beacon{Entry: entry("a", 1, 10, 1)})
+	s, _ := v.Snapshot()
+	must.True(t, s.Services["s"][0].Usable())
+	v.Tick(start.Add(lostAfter))
+	s, ok := v.Snapshot()
+	must.True(t, ok)
+	must.False(t, s.Services["s"][0].Usable())
+	must.Eq(t, 0.0, v.Heard(start.Add(lostAfter)))
+	v.Hear(start.Add(2*lostAfter), Beacon{Entry: entry("a", 1, 10, 1)})
+	s, _ = v.Snapshot()
+	must.True(t, s.Services["s"][0].Usable())
+	must.Eq(t, 1.0, v.Heard(start.Add(2*lostAfter)))
+}
+
+// Guards against a coordinator that is beside a holder of keys while another
+// node could do it, and against two candidates of one rank.
+func TestRankPrefersOtherServices(t *testing.T) {
+	v := NewView("a")
+	for i, id := range []string{"a", "b", "c"} {
+		e := entry(id, uint64(i+1), 1, 1)
+		if id == "c" {
+			e.Service = "other"
+		}
+		v.Hear(start, Beacon{Entry: e})
+	}
+	must.Eq(t, 1, v.Rank("s"))
+	must.Eq(t, 0, v.Rank("other"))
+}
