--- a/core/errors.go
+++ b/core/errors.go
@@ -53,6 +53,7 @@
 	CodeNotFound
 	CodeUnavailable
 	CodeTooLarge
+	CodeDeadline
 )
 
 const lastNotRun = CodeCanceledNotRun
@@ -82,6 +83,7 @@
 	CodeNotFound:        "not-found",
 	CodeUnavailable:     "unavailable",
 	CodeTooLarge:        "too-large",
+	CodeDeadline:        "deadline-passed-running",
 }
 
 // String returns the name used in headers, JSON bodies and logs.
@@ -92,6 +94,9 @@
 	return fmt.Sprintf("code-%d", uint8(c))
 }
 
+// Valid reports whether c is one of the codes.
+func (c Code) Valid() bool { return c >= CodeInvalid && c <= CodeDeadline }
+
 // NotRun reports whether the code proves that the request did not run.
 func (c Code) NotRun() bool { return c != 0 && c <= lastNotRun }
 
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -62,6 +62,8 @@
 	Deadline time.Time
 	// Attempt counts forwards by nodes, starting at 1.
 	Attempt int
+	// Route names the route that the request matched, or is empty.
+	Route string
 	// Target is the wall time up to which an answer has its full worth, or zero.
 	Target time.Time
 	// Priority ranks requests of one service; 0 is the highest.
--- /dev/null
+++ b/peers/hop.go
@@ -0,0 +1,241 @@
+package peers
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/frontend"
+	"marjoramshore.example/gate"
+)
+
+// Header fields between nodes. Callers cannot set them: the node that a request
+// enters drops them.
+const (
+	hopPrefix    = "Marjoram-Hop-"
+	hopID        = "Marjoram-Hop-Id"
+	hopService   = "Marjoram-Hop-Service"
+	hopKey       = "Marjoram-Hop-Key"
+	hopRoute     = "Marjoram-Hop-Route"
+	hopRepeat    = "Marjoram-Hop-Idempotent"
+	hopPriority  = "Marjoram-Hop-Priority"
+	hopLeft      = "Marjoram-Hop-Left-Us"
+	hopTarget    = "Marjoram-Hop-Target-Us"
+	hopInstance  = "Marjoram-Hop-Instance"
+	hopOrigin    = "Marjoram-Hop-Origin"
+	hopAttempt   = "Marjoram-Hop-Attempt"
+	hopCode      = "Marjoram-Hop-Code"
+	hopDetail    = "Marjoram-Hop-Detail"
+	hopRetry     = "Marjoram-Hop-Retry-Us"
+	hopArrived   = "Marjoram-Hop-Arrived"
+	hopLoad      = "Marjoram-Hop-Load"
+	statusFailed = http.StatusServiceUnavailable
+)
+
+// Loads tells the load that answers to other nodes report.
+type Loads interface {
+	// Load returns running and waiting requests and the mean service time.
+	Load() (running, waiting int, service time.Duration)
+}
+
+// Inbound is the frontend's dialect for requests of other nodes.
+type Inbound struct{ Loads Loads }
+
+var _ frontend.Dialect = Inbound{}
+
+// Parse implements frontend.Dialect.
+func (Inbound) Parse(h core.Head, now time.Time) (*core.Request, error) {
+	req := &core.Request{Method: h.Method, Path: h.Path, Body: core.NoBody}
+	for _, f := range h.Fields {
+		if !strings.HasPrefix(f.Name, hopPrefix) {
+			req.Header = append(req.Header, f)
+			continue
+		}
+		if err := parseHop(req, f, now); err != nil {
+			return req, err
+		}
+	}
+	if req.Service == "" {
+		return req, core.Fail(core.CodeInvalid, "not a request of another node")
+	}
+	req.Header = core.EndToEnd(req.Header)
+	return req, nil
+}
+
+func parseHop(req *core.Request, f core.Field, now time.Time) error {
+	var n int64
+	switch f.Name {
+	case hopPriority, hopLeft, hopTarget, hopAttempt:
+		v, err := strconv.ParseInt(f.Value, 10, 64)
+		if err != nil {
+			return core.Wrap(core.CodeInvalid, err, "bad number: "+f.Name)
+		}
+		n = v
+	}
+	switch f.Name {
+	case hopID:
+		req.ID = f.Value
+	case hopService:
+		req.Service = core.Service(f.Value)
+	case hopKey:
+		req.Key = f.Value
+	case hopRoute:
+		req.Route = f.Value
+	case hopRepeat:
+		req.Idempotent = f.Value == "1"
+	case hopInstance:
+		req.Instance = f.Value
+	case hopOrigin:
+		req.Origin = core.Service(f.Value)
+	case hopPriority:
+		req.Priority = int(n)
+	case hopAttempt:
+		req.Attempt = int(n)
+	case hopLeft:
+		req.Deadline = now.Add(time.Duration(n) * time.Microsecond)
+	case hopTarget:
+		req.Target = now.Add(time.Duration(n) * time.Microsecond)
+	}
+	return nil
+}
+
+// Failure implements frontend.Dialect.
+func (i Inbound) Failure(_ *core.Request, e *core.Error) frontend.Reply {
+	fields := []core.Field{
+		{Name: hopCode, Value: strconv.Itoa(int(e.Code))},
+		{Name: hopLoad, Value: i.load()},
+	}
+	if e.Detail != "" {
+		fields = append(fields, core.Field{Name: hopDetail, Value: e.Detail})
+	}
+	if e.RetryAfter > 0 {
+		fields = append(fields, core.Field{Name: hopRetry, Value: strconv.FormatInt(e.RetryAfter.Microseconds(), 10)})
+	}
+	if e.Arrived {
+		fields = append(fields, core.Field{Name: hopArrived, Value: "1"})
+	}
+	return frontend.Reply{Status: statusFailed, Fields: fields}
+}
+
+// Success implements frontend.Dialect.
+func (i Inbound) Success(_ *core.Request, _ *core.Response, fields []core.Field) []core.Field {
+	out := make([]core.Field, 0, len(fields)+1)
+	for _, f := range fields {
+		if !strings.HasPrefix(f.Name, hopPrefix) {
+			out = append(out, f)
+		}
+	}
+	return append(out, core.Field{Name: hopLoad, Value: i.load()})
+}
+
+func (i Inbound) load() string {
+	running, waiting, service := i.Loads.Load()
+	return strconv.Itoa(running) + "," + strconv.Itoa(waiting) + "," + strconv.FormatInt(service.Microseconds(), 10)
+}
+
+// outbound is the gate's dialect for requests to another node.
+type outbound struct{}
+
+var _ gate.Dialect = outbound{}
+
+// Reserved implements gate.Dialect.
+func (outbound) Reserved(name string) bool { return strings.HasPrefix(name, hopPrefix) }
+
+// Describe implements gate.Dialect.
+func (outbound) Describe(h http.Header, req *core.Request) {
+	set := func(name, value string) {
+		if value != "" {
+			h[name] = []string{value}
+		}
+	}
+	set(hopID, req.ID)
+	set(hopService, string(req.Service))
+	set(hopKey, req.Key)
+	set(hopRoute, req.Route)
+	set(hopInstance, req.Instance)
+	set(hopOrigin, string(req.Origin))
+	set(hopPriority, strconv.Itoa(req.Priority))
+	set(hopAttempt, strconv.Itoa(req.Attempt))
+	if req.Idempotent {
+		set(hopRepeat, "1")
+	}
+}
+
+// Stamp implements gate.Dialect.
+func (outbound) Stamp(h http.Header, req *core.Request, _ gate.Permit) {
+	left := func(name string, at time.Time) {
+		if !at.IsZero() {
+			h[name] = []string{strconv.FormatInt(time.Until(at).Microseconds(), 10)}
+		}
+	}
+	left(hopLeft, req.Deadline)
+	left(hopTarget, req.Target)
+}
+
+// Answers implements gate.Dialect. Nodes answer each request once, in order.
+func (outbound) Answers(*core.Request, int, http.Header) bool { return true }
+
+// unpack splits an answer of another node into the response of the backend
+// server or the failure, and the load that it reports.
+func unpack(resp *core.Response) (*core.Error, *reported) {
+	var failure *core.Error
+	var load *reported
+	for _, f := range resp.Header {
+		switch f.Name {
+		case hopLoad:
+			load = parseLoad(f.Value)
+		case hopCode:
+			failure = failureOf(resp.Header)
+		}
+	}
+	resp.Header = slices.DeleteFunc(resp.Header, func(f core.Field) bool { return strings.HasPrefix(f.Name, hopPrefix) })
+	return failure, load
+}
+
+// failureOf reads the failure in the fields of an answer. A code that cannot be
+// read says nothing of whether the request ran.
+func failureOf(fields []core.Field) *core.Error {
+	e := &core.Error{Code: core.CodeUnknown}
+	for _, f := range fields {
+		switch f.Name {
+		case hopCode:
+			if n, err := strconv.ParseUint(f.Value, 10, 8); err == nil && core.Code(n).Valid() {
+				e.Code = core.Code(n)
+			}
+		case hopDetail:
+			e.Detail = f.Value
+		case hopRetry:
+			if n, err := strconv.ParseInt(f.Value, 10, 64); err == nil {
+				e.RetryAfter = time.Duration(n) * time.Microsecond
+			}
+		case hopArrived:
+			e.Arrived = true
+		}
+	}
+	return e
+}
+
+// reported is the load in an answer.
+type reported struct {
+	running, waiting int
+	service          time.Duration
+}
+
+func parseLoad(text string) *reported {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return nil
+	}
+	var n [3]int
+	for i, p := range parts {
+		v, err := strconv.Atoi(p)
+		if err != nil {
+			return nil
+		}
+		n[i] = v
+	}
+	return &reported{n[0], n[1], time.Duration(n[2]) * time.Microsecond}
+}
