--- a/cli/cli.go
+++ b/cli/cli.go
@@ -44,7 +44,7 @@
 	p.ShowCompletion = false
 	_ = p.SetHelpTemplate("{{if .Message}}marjoramshore: {{.Message}}\n{{else}}" + flaggy.DefaultHelpTemplate + "{{end}}")
 	commands := []command{
-		nodeCommand(), checkCommand(), demoCommand(), loadCommand(), capacityCommand(), versionCommand(),
+		nodeCommand(), checkCommand(), demoCommand(), loadCommand(), capacityCommand(), versionCommand(), sidecarCommand(),
 		standinStoreCommand(), standinBackendCommand(),
 	}
 	commands = append(commands, operatorCommands()...)
--- /dev/null
+++ b/sidecar/backend/duty.go
@@ -0,0 +1,233 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/platform"
+	"marjoramshore.example/ring"
+	"marjoramshore.example/shards"
+	"marjoramshore.example/slotqueue"
+)
+
+const (
+	// expireEvery is how often waiting requests are looked through.
+	expireEvery = 20 * time.Millisecond
+	// missedReports is the number of missing reports after which a run hands
+	// its keys on once its holds have ended.
+	missedReports = 3
+	// refusedDials is the number of refused connections in a row after which a
+	// run counts as ended; nothing listens any more at its address.
+	refusedDials = 2
+	// drainMargin is kept between the last request and the end of a drain.
+	drainMargin = 400 * time.Millisecond
+)
+
+// offer asks for a slot. The duty answers once.
+type offer struct {
+	ticket   slotqueue.Ticket
+	decision ring.Reply[*core.Error]
+}
+
+// event is any other input of the duty.
+type event interface{ apply(*state) }
+
+type finished struct {
+	o   *offer
+	err *core.Error
+}
+
+type canceled struct{ o *offer }
+
+// statusReport is a status report with the channel of its answer.
+type statusReport struct {
+	report platform.StatusReport
+	reply  ring.Reply[Ack]
+}
+
+type left struct {
+	instance string
+	reply    ring.Reply[Ack]
+}
+
+// Ack is the answer to a backend server.
+type Ack struct {
+	// OK acknowledges the report.
+	OK bool
+	// Keys reports that the run takes part in the division of keys.
+	Keys  bool
+	Grant shards.Grant
+}
+
+// state is owned by the duty's goroutine.
+type state struct {
+	*Server
+	ctx      context.Context
+	queue    *slotqueue.Queue
+	run      Run
+	sequence int64
+	reported clock.Instant
+	silent   bool
+	refused  int
+}
+
+// Run runs the duty until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	st := &state{Server: s, ctx: ctx, queue: slotqueue.New()}
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			st.tick()
+		case <-s.offered.Ready():
+			if o, ok := s.offered.Pop(); ok {
+				st.offer(o)
+			}
+		case <-s.events.Ready():
+			if e, ok := s.events.Pop(); ok {
+				e.apply(st)
+			}
+		}
+		st.publish()
+	}
+}
+
+func (st *state) now() clock.Instant { return st.cfg.Clock.Now() }
+
+func (st *state) publish() {
+	q := st.queue.Stats()
+	if old := st.load.Load(); old.running != q.Running || old.waiting != q.Waiting || old.service != q.Service {
+		st.load.Store(&load{q.Running, q.Waiting, q.Service})
+	}
+}
+
+// admit asks the duty for a slot and waits for it.
+func (s *Server) admit(ctx context.Context, req *core.Request) (*offer, error) {
+	now := s.cfg.Clock.Now()
+	at := func(t time.Time) clock.Instant {
+		if t.IsZero() {
+			return 0
+		}
+		return now.Add(time.Until(t))
+	}
+	o := &offer{
+		ticket:   slotqueue.Ticket{Class: req.Route, Priority: req.Priority, Target: at(req.Target), Due: at(req.Deadline)},
+		decision: ring.NewReply[*core.Error](),
+	}
+	o.ticket.Ref = o
+	if s.offered.Push(ctx, o) != nil {
+		return nil, core.Fail(core.CodeOverloaded, "too many requests wait for the duty")
+	}
+	e, ok := o.decision.Wait(ctx)
+	if !ok {
+		s.free(canceled{o})
+		return nil, core.EndedNotRun(ctx)
+	}
+	if e != nil {
+		return nil, e
+	}
+	return o, nil
+}
+
+// free queues an event that must not be lost, since it frees a slot.
+func (s *Server) free(e event) {
+	for s.events.Push(context.Background(), e) != nil {
+		s.cfg.Log.Warn("backend duty behind")
+	}
+}
+
+func (s *Server) done(o *offer, err error) {
+	var e *core.Error
+	if err != nil {
+		e = core.AsError(err)
+	}
+	s.free(finished{o, e})
+}
+
+func (st *state) offer(o *offer) {
+	d := st.queue.Offer(st.now(), &o.ticket)
+	switch d.Verdict {
+	case slotqueue.Admit:
+		o.decision.Send(nil)
+	case slotqueue.Refuse:
+		o.decision.Send(&core.Error{Code: d.Code, Detail: "no slot in time", RetryAfter: d.RetryAfter})
+	}
+}
+
+func (st *state) start(list []*slotqueue.Ticket) {
+	for _, t := range list {
+		t.Ref.(*offer).decision.Send(nil)
+	}
+}
+
+func (st *state) refuse(list []*slotqueue.Ticket, code core.Code, detail string) {
+	for _, t := range list {
+		t.Ref.(*offer).decision.Send(core.Fail(code, detail))
+	}
+}
+
+func (m canceled) apply(st *state) { st.start(st.queue.Cancel(st.now(), &m.o.ticket)) }
+
+func (m finished) apply(st *state) {
+	st.start(st.queue.Done(st.now(), &m.o.ticket, m.err == nil))
+	switch {
+	case m.err == nil:
+		st.refused = 0
+	case errors.Is(m.err, syscall.ECONNREFUSED):
+		st.refused++
+		if st.refused == refusedDials {
+			st.end("connections refused")
+		}
+	}
+}
+
+func (st *state) tick() {
+	refused, started := st.queue.Expire(st.now())
+	st.refuse(refused, core.CodeDeadlineNotRun, "no slot before the deadline")
+	st.start(started)
+	if at := clock.Instant(st.closing.Load()); at != 0 && !st.now().Before(at) {
+		st.queue.Open(false)
+		st.refuse(st.queue.Flush(), core.CodeDraining, "backend server has left")
+	}
+	st.watchReports()
+}
+
+// watchReports hands the keys of a run on that no longer reports.
+func (st *state) watchReports() {
+	quiet := st.now().Sub(st.reported)
+	if st.run.Holder == shards.None || st.silent || quiet < missedReports*st.cfg.ReportEvery {
+		return
+	}
+	st.silent = true
+	st.cfg.Log.WithFields(log.Fields{"instance": st.run.Holder.Instance, "quiet_ms": quiet.Milliseconds()}).
+		Warn("backend server does not report")
+	if d := st.cfg.Keys(); d != nil {
+		d.Silent(st.run.Holder)
+	}
+}
+
+// end records that the present run is over.
+func (st *state) end(reason string) {
+	if st.run.Holder == shards.None || st.run.Gone {
+		return
+	}
+	st.cfg.Log.WithFields(log.Fields{"instance": st.run.Holder.Instance, "reason": reason}).Info("backend server ended")
+	st.run.Ready, st.run.Gone = false, true
+	st.queue.Open(false)
+	st.refuse(st.queue.Flush(), core.CodeBackendDown, "backend server ended")
+	if d := st.cfg.Keys(); d != nil {
+		d.Ended(st.run.Holder)
+	}
+	st.changed()
+}
+
+func (st *state) changed() { st.cfg.Changed(st.run) }
--- a/sidecar/boot.go
+++ b/sidecar/bootclock.go
@@ -1,9 +1,11 @@
-package clock
+package sidecar
 
 import (
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"marjoramshore.example/clock"
 )
 
 // Boot reads the operating system's clock that keeps counting while the VM is
@@ -15,8 +17,8 @@
 // "never" (Instant 0) is older than any timeout.
 func NewBoot() *Boot { return &Boot{base: bootNow() - int64(time.Hour)} }
 
-// Now implements Clock.
-func (b *Boot) Now() Instant { return Instant(bootNow() - b.base) }
+// Now implements clock.Clock.
+func (b *Boot) Now() clock.Instant { return clock.Instant(bootNow() - b.base) }
 
 // bootNow returns nanoseconds since the VM was started. Linux cannot refuse
 // the call for this clock, so a failure ends the process.
--- /dev/null
+++ b/sidecar/config.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/fleet"
+	"marjoramshore.example/platform"
+)
+
+// Error is a failure to start or run a node.
+type Error struct {
+	What  string
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "sidecar: " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Config sets up a Node.
+type Config struct {
+	Settings platform.Settings
+	// Path is the settings file, which is read again when it changes.
+	Path string
+	Log  log.Interface
+	// MetricsAddr is the host:port that serves /metrics, or empty.
+	MetricsAddr string
+}
+
+// newIncarnation draws the number of this run of the process.
+func newIncarnation() core.Incarnation {
+	var b [8]byte
+	// rand.Read never fails.
+	_, _ = rand.Read(b[:])
+	return core.Incarnation(binary.LittleEndian.Uint64(b[:]) | 1)
+}
+
+// entry returns what this node says of itself at its start.
+func entry(s platform.Settings, inc core.Incarnation) fleet.Entry {
+	return fleet.Entry{
+		Node: s.Node, Incarnation: inc, Started: time.Now().UnixMilli(), DataCentre: s.DataCentre,
+		Inbound: s.Inbound, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PortLo)), Service: s.Service, Serial: 1,
+	}
+}
+
+// address returns the part of an entry that is kept in the store. The rest
+// changes with every run and comes by beacons.
+func address(e fleet.Entry) fleet.Entry {
+	return fleet.Entry{Node: e.Node, DataCentre: e.DataCentre, Inbound: e.Inbound, Peer: e.Peer, Service: e.Service}
+}
--- /dev/null
+++ b/sidecar/node.go
@@ -0,0 +1,348 @@
+// Package sidecar assembles the node that runs beside a backend server on the
+// users' platform. It starts the duties and joins them; each decides nothing
+// beyond its own state.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/dispatch"
+	"marjoramshore.example/fleet"
+	"marjoramshore.example/frontend"
+	"marjoramshore.example/peers"
+	"marjoramshore.example/platform"
+	"marjoramshore.example/routes"
+	"marjoramshore.example/sidecar/backend"
+	"marjoramshore.example/sidecar/keys"
+	"marjoramshore.example/sidecar/nodes"
+	"marjoramshore.example/sidecar/router"
+	"marjoramshore.example/sidecar/watch"
+	"marjoramshore.example/telemetry"
+)
+
+const (
+	// workers bounds the calls of all duties that run at once.
+	workers = 16
+	// idleConn is how long callers may leave a connection unused; above the
+	// 15 s of the sites' limits, so that the caller ends it.
+	idleConn = 60 * time.Second
+	// maxHead and maxBody bound requests; above the limits that operators set,
+	// which callers keep.
+	maxHead = 64 << 10
+	maxBody = 256 << 20
+	// headerTime bounds the time of a head; above the sites' 3 s.
+	headerTime = 10 * time.Second
+)
+
+// Node is one process beside a backend server.
+type Node struct {
+	cfg   Config
+	log   log.Interface
+	clock clock.Clock
+	self  fleet.Entry
+	pool  *ants.Pool
+	store *platform.Store
+
+	routes  routes.InForce
+	config  atomic.Pointer[platform.Object]
+	budget  *dispatch.Budget
+	nodes   *nodes.Duty
+	backend *backend.Server
+	router  *router.Router
+	links   links
+	caller  *peers.Caller
+	beacons *peers.Beacons
+	keyMap  atomic.Pointer[map[core.Service]*keys.Duty]
+	follows chan routes.Config // one element: the newest configuration to follow
+	pending sync.Map           // of pendingTable by core.Service
+	metrics *meters
+	ready   atomic.Bool
+	stopped atomic.Bool
+
+	outbound, inbound *frontend.Frontend
+	reports, status   *httpServer
+	calls             *http.Server
+	metricsServer     *telemetry.MetricsServer
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	duties sync.WaitGroup
+}
+
+// New opens the node's listeners. Start runs it.
+func New(cfg Config) (*Node, error) {
+	s := cfg.Settings
+	pool, err := ants.NewPool(workers, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, &Error{"worker pool", err}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg: cfg, log: cfg.Log, clock: NewBoot(), self: entry(s, newIncarnation()), pool: pool,
+		store: platform.NewStore(s.Store), caller: peers.NewCaller(), follows: make(chan routes.Config, 1),
+		budget: dispatch.NewBudget(dispatch.BudgetConfig{
+			Ratio: s.Bounds.RetryRatio, Floor: s.Bounds.MinRetries, Window: s.Bounds.RetryWindow,
+		}),
+		metrics: newMeters(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
+	}
+	n.keyMap.Store(&map[core.Service]*keys.Duty{})
+	if n.beacons, err = peers.ListenBeacons(n.self.Peer); err != nil {
+		return nil, err
+	}
+	n.nodes = nodes.New(nodes.Config{
+		Self: n.self, Clock: n.clock, Log: n.log, Socket: n.beacons, Own: n.own,
+		Keys: n.keyDuties, Tick: n.tickBudget, Behind: n.catchUp,
+	})
+	if err := n.openBackend(s); err != nil {
+		return nil, err
+	}
+	return n, n.listen(s)
+}
+
+func (n *Node) openBackend(s platform.Settings) error {
+	var err error
+	n.backend, err = backend.New(backend.Config{
+		Node: s.Node, Service: s.Service, Address: s.Backend, Drain: s.Bounds.Drain, ReportEvery: s.ReportEvery,
+		Clock: n.clock, Log: n.log, Keys: func() *keys.Duty { return n.keysOf(s.Service) }, Changed: n.runChanged,
+	})
+	if err != nil {
+		return err
+	}
+	n.links = newLinks(n)
+	n.router = router.New(router.Config{
+		Node: s.Node, DataCentre: s.DataCentre, Origin: s.Service, Clock: n.clock, Log: n.log, Routes: &n.routes,
+		Fleet: n.nodes.Snapshot, Keys: n.keysOf, Budget: n.budget, Sender: &n.links, Ended: n.metrics.request,
+	})
+	return nil
+}
+
+// listen opens every listener, so that a port in use ends the start.
+func (n *Node) listen(s platform.Settings) error {
+	base := frontend.Config{
+		MaxHeaderBytes: maxHead, MaxBodyBytes: maxBody, HeaderTimeout: headerTime, IdleTimeout: idleConn,
+	}
+	out, in := base, base
+	out.Addr, out.Handler, out.Dialect = s.Callers, n.router, platform.Callers{}
+	in.Addr, in.Handler, in.Dialect = s.Inbound, n.backend, peers.Inbound{Loads: n.backend}
+	var err error
+	if n.outbound, err = frontend.New(out); err != nil {
+		return err
+	}
+	if n.inbound, err = frontend.New(in); err != nil {
+		return err
+	}
+	if n.reports, err = newHTTPServer(s.Reports, n.serveReport); err != nil {
+		return err
+	}
+	if n.status, err = newHTTPServer(s.Ready, n.serveReady); err != nil {
+		return err
+	}
+	n.calls = peers.NewServer(peerCalls{n})
+	if n.cfg.MetricsAddr == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", n.cfg.MetricsAddr)
+	if err != nil {
+		return &Error{"metrics listener", err}
+	}
+	n.metricsServer = telemetry.NewMetricsServer(ln, n.metrics.registry)
+	return n.metrics.watch(n)
+}
+
+// run starts a duty on a goroutine of its own.
+func (n *Node) run(f func(context.Context)) {
+	n.duties.Add(1)
+	go func() {
+		defer n.duties.Done()
+		f(n.ctx)
+	}()
+}
+
+// Start runs the node's duties and servers.
+func (n *Node) Start() error {
+	s := n.cfg.Settings
+	ln, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.PortLo)))
+	if err != nil {
+		return &Error{"peer listener", err}
+	}
+	n.log.WithFields(log.Fields{
+		"node": s.Node, "incarnation": uint64(n.self.Incarnation), "service": s.Service, "data_centre": s.DataCentre,
+		"backend": s.Backend, "store": s.Store, "first_start": s.FirstStart,
+	}).Info("node starts")
+	n.run(n.nodes.Run)
+	n.run(n.nodes.Receive)
+	n.run(n.backend.Run)
+	n.run(n.followConfigs)
+	n.run(func(context.Context) {
+		if err := n.calls.Serve(ln); err != http.ErrServerClosed {
+			n.log.WithError(err).Error("calls between nodes end")
+		}
+	})
+	n.run(n.reports.serve)
+	n.run(n.status.serve)
+	if n.metricsServer != nil {
+		n.run(func(context.Context) {
+			if err := n.metricsServer.Serve(); err != nil {
+				n.log.WithError(err).Warn("metrics end")
+			}
+		})
+	}
+	n.inbound.Start()
+	n.outbound.Start()
+	config := &watch.Duty{Kind: platform.ConfigKind, Store: n.store, Handler: configObjects{n}, Log: n.log}
+	n.run(config.Run)
+	n.run(n.followObjects)
+	n.run(n.watchSettings)
+	return nil
+}
+
+// announceRetry is the pause before another try to write the node's address.
+const announceRetry = 300 * time.Millisecond
+
+// followObjects announces the node, and then follows the fleet. Whoever starts
+// later sees the announcement and sends a beacon.
+func (n *Node) followObjects(ctx context.Context) {
+	for {
+		err := n.announce(ctx)
+		if err == nil {
+			break
+		}
+		n.log.WithError(err).Warn("node not announced")
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(announceRetry):
+		}
+	}
+	objects := &watch.Duty{Kind: objectKind, Store: n.store, Handler: ownObjects{n}, Log: n.log}
+	objects.Run(ctx)
+}
+
+// follow hands a configuration to the duty that starts key duties.
+func (n *Node) follow(c routes.Config) {
+	for {
+		select {
+		case n.follows <- c:
+			return
+		default:
+		}
+		select {
+		case <-n.follows:
+		default:
+		}
+	}
+}
+
+// followConfigs starts a key duty for each service that divides its keys. A
+// duty of a service that is no longer configured stays: the service may return,
+// and its leases must not be forgotten.
+func (n *Node) followConfigs(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-n.follows:
+			n.startKeys(c)
+			n.ready.Store(!n.stopped.Load())
+		}
+	}
+}
+
+func (n *Node) startKeys(c routes.Config) {
+	old := *n.keyMap.Load()
+	next := make(map[core.Service]*keys.Duty, len(old))
+	for s, d := range old {
+		next[s] = d
+	}
+	for _, s := range c.Services {
+		if !s.Sharded || next[s.Name] != nil {
+			continue
+		}
+		d := keys.New(keys.Config{
+			Service: s.Name, Node: n.self.Node, Incarnation: n.self.Incarnation, Member: s.Name == n.self.Service,
+			MaxHold: n.cfg.Settings.Bounds.MaxHold, Clock: n.clock, Log: n.log, Pool: n.pool,
+			Records: records{n.store}, Calls: n.caller,
+		})
+		next[s.Name] = d
+		n.run(d.Run)
+		n.log.WithField("service", s.Name).Info("keys followed")
+	}
+	n.keyMap.Store(&next)
+	for s, d := range next {
+		if p, ok := n.pending.LoadAndDelete(s); ok {
+			t := p.(pendingTable)
+			d.Observe(t.record, t.revision, 0)
+		}
+	}
+}
+
+func (n *Node) keysOf(s core.Service) *keys.Duty { return (*n.keyMap.Load())[s] }
+
+func (n *Node) keyDuties() map[core.Service]nodes.KeyDuty {
+	duties := *n.keyMap.Load()
+	out := make(map[core.Service]nodes.KeyDuty, len(duties))
+	for s, d := range duties {
+		out[s] = d
+	}
+	return out
+}
+
+// runChanged tells the fleet of a change of the backend server's run.
+func (n *Node) runChanged(r backend.Run) {
+	n.nodes.Change(func(e *fleet.Entry) {
+		e.Instance, e.Born, e.Slots = r.Holder.Instance, r.Holder.Born, r.Slots
+		switch {
+		case r.Gone:
+			e.State = fleet.Gone
+		case r.Leaving:
+			e.State = fleet.Leaving
+		case r.Ready:
+			e.State = fleet.Ready
+		}
+	})
+}
+
+// own is what the node's beacons say beside its entry.
+func (n *Node) own() nodes.Own {
+	running, waiting, service := n.backend.Load()
+	o := nodes.Own{Running: running, Waiting: waiting, Service: service}
+	if t := n.routes.Load(); t != nil {
+		o.Config = t.Version
+	}
+	for s, d := range *n.keyMap.Load() {
+		st := d.Status()
+		if o.Tables == nil {
+			o.Tables = make(map[core.Service]uint64)
+		}
+		o.Tables[s] = st.Revision
+		if st.Leading {
+			if o.Unconfirmed == nil {
+				o.Unconfirmed = make(map[core.Service]int64)
+			}
+			o.Unconfirmed[s] = st.Unconfirmed.Milliseconds()
+		}
+	}
+	return o
+}
+
+func (n *Node) tickBudget(now clock.Instant, size int) {
+	t := n.routes.Load()
+	if t == nil {
+		return
+	}
+	var services []core.Service
+	t.Services(func(s routes.Service) { services = append(services, s.Name) })
+	n.budget.Tick(now, services, size)
+}
--- /dev/null
+++ b/sidecar/nodes/nodes.go
@@ -0,0 +1,275 @@
+// Package nodes runs the view of package fleet as a duty. The duty sends this
+// node's beacons, takes those of the others, and publishes snapshots.
+package nodes
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/fleet"
+	"marjoramshore.example/peers"
+	"marjoramshore.example/ring"
+	"marjoramshore.example/shards"
+	"marjoramshore.example/sidecar/keys"
+)
+
+const (
+	// tick is how often liveness is looked at.
+	tick = 100 * time.Millisecond
+	// beaconEvery is the interval of beacons. Three fit into the time after
+	// which a node counts as lost.
+	beaconEvery = 500 * time.Millisecond
+	// ringSize bounds queued messages; beacons repeat, so the oldest go.
+	ringSize = 256
+)
+
+// Socket carries beacons.
+type Socket interface {
+	Send(data []byte, address string) error
+	Receive(buf []byte) (fleet.Beacon, error)
+}
+
+// Own is what this node says of itself beside its entry.
+type Own struct {
+	Running, Waiting int
+	Service          time.Duration
+	Config           uint64
+	Tables           map[core.Service]uint64
+	Unconfirmed      map[core.Service]int64
+}
+
+// Config sets up a Duty.
+type Config struct {
+	Self   fleet.Entry
+	Clock  clock.Clock
+	Log    log.Interface
+	Socket Socket
+	// Own is called for each beacon.
+	Own func() Own
+	// Keys returns the duties that want to know of their coordinators.
+	Keys func() map[core.Service]KeyDuty
+	// Tick is called at each tick with the number of nodes.
+	Tick func(now clock.Instant, nodes int)
+	// Behind is called when another node has a newer configuration or table.
+	Behind func(Behind)
+}
+
+// KeyDuty is a duty of package keys.
+type KeyDuty interface {
+	Status() keys.Status
+	See(keys.Sight)
+}
+
+// Behind names what another node has in a newer version.
+type Behind struct {
+	// Service is set for a key table, and empty for the configuration.
+	Service core.Service
+	// Address is where the node is called.
+	Address string
+}
+
+// Duty owns the view of the fleet.
+type Duty struct {
+	cfg      Config
+	in       *ring.Ring[message]
+	snapshot atomic.Pointer[fleet.Snapshot]
+}
+
+type message interface{ apply(*state) }
+
+type heard struct{ b fleet.Beacon }
+
+type listed struct{ e fleet.Entry }
+
+type removed struct{ id core.NodeID }
+
+type change struct{ f func(*fleet.Entry) }
+
+// New returns a duty; Run runs it.
+func New(cfg Config) *Duty {
+	d := &Duty{cfg: cfg, in: ring.New[message]("fleet", ringSize, ring.DropOldest)}
+	d.snapshot.Store(&fleet.Snapshot{})
+	return d
+}
+
+// Snapshot returns the present view.
+func (d *Duty) Snapshot() *fleet.Snapshot { return d.snapshot.Load() }
+
+// Ring returns the counters of the duty's ring.
+func (d *Duty) Ring() ring.Stats { return d.in.Stats() }
+
+func (d *Duty) push(m message) {
+	// A closed ring means that the node is ending; DropOldest never refuses.
+	_ = d.in.Push(context.Background(), m)
+}
+
+// List passes an entry of the store on.
+func (d *Duty) List(e fleet.Entry) { d.push(listed{e}) }
+
+// Remove passes the removal of an entry on.
+func (d *Duty) Remove(id core.NodeID) { d.push(removed{id}) }
+
+// Change changes this node's own entry. The others are told at once.
+func (d *Duty) Change(f func(*fleet.Entry)) { d.push(change{f}) }
+
+// state is owned by the goroutine of Run.
+type state struct {
+	*Duty
+	view   *fleet.View
+	self   fleet.Entry
+	beacon clock.Instant
+	lost   map[core.NodeID]bool
+}
+
+// Run runs the duty until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	s := &state{Duty: d, view: fleet.NewView(d.cfg.Self.Node), self: d.cfg.Self, lost: map[core.NodeID]bool{}}
+	s.view.Apply(s.now(), s.self)
+	s.publish()
+	ring.Duty(ctx, d.in, tick, func(m message) { m.apply(s); s.publish() }, s.tick)
+	s.send() // tells that the node stops
+}
+
+// Receive takes beacons until the socket is closed. It is a duty of its own.
+func (d *Duty) Receive(ctx context.Context) {
+	buf := peers.Buffer()
+	for ctx.Err() == nil {
+		b, err := d.cfg.Socket.Receive(buf)
+		if err == nil {
+			d.push(heard{b})
+			continue
+		}
+		if ctx.Err() == nil {
+			d.cfg.Log.WithError(err).Warn("beacon not read")
+			if e, ok := err.(*peers.BeaconError); ok && e.What == "receive" {
+				return
+			}
+		}
+	}
+}
+
+func (s *state) now() clock.Instant { return s.cfg.Clock.Now() }
+
+func (m heard) apply(s *state) {
+	if m.b.Entry.Node == s.self.Node {
+		return
+	}
+	known := s.view.Known(m.b.Entry.Node)
+	s.view.Hear(s.now(), m.b)
+	if !known {
+		s.greet(m.b.Entry)
+	}
+}
+
+func (m listed) apply(s *state) {
+	if m.e.Node != s.self.Node && s.view.Apply(s.now(), m.e) {
+		s.greet(m.e)
+	}
+}
+
+func (m removed) apply(s *state) { s.view.Remove(s.now(), m.id) }
+
+func (m change) apply(s *state) {
+	m.f(&s.self)
+	s.self.Serial++
+	s.view.Apply(s.now(), s.self)
+	s.send()
+}
+
+// greet sends a beacon to a node that was not known, which then answers.
+func (s *state) greet(e fleet.Entry) {
+	s.cfg.Log.WithFields(log.Fields{"node": e.Node, "peer": e.Peer, "serves": e.Service}).Info("node found")
+	if data, ok := s.encoded(); ok {
+		s.sendTo(data, e)
+	}
+}
+
+func (s *state) encoded() ([]byte, bool) {
+	o := s.cfg.Own()
+	data, err := peers.Encode(fleet.Beacon{
+		Entry: s.self, Running: o.Running, Waiting: o.Waiting, ServiceMicros: o.Service.Microseconds(),
+		Config: o.Config, Tables: o.Tables, Unconfirmed: o.Unconfirmed,
+	})
+	if err != nil {
+		s.cfg.Log.WithError(err).Error("beacon not encoded")
+	}
+	return data, err == nil
+}
+
+func (s *state) send() {
+	data, ok := s.encoded()
+	if !ok {
+		return
+	}
+	s.beacon = s.now()
+	s.view.Peers(s.now(), func(e fleet.Entry) { s.sendTo(data, e) })
+}
+
+func (s *state) sendTo(data []byte, e fleet.Entry) {
+	if err := s.cfg.Socket.Send(data, e.Peer); err != nil {
+		s.cfg.Log.WithError(err).WithField("node", e.Node).Debug("beacon not sent")
+	}
+}
+
+func (s *state) tick() {
+	now := s.now()
+	s.view.Tick(now)
+	if now.Sub(s.beacon) >= beaconEvery {
+		s.send()
+		s.catchUp()
+	}
+	s.see(now)
+	s.cfg.Tick(now, s.view.Size(now))
+	s.publish()
+}
+
+// catchUp asks for what other nodes have in a newer version. It serves nodes
+// that the store does not reach.
+func (s *state) catchUp() {
+	if e, ok := s.view.Ahead(s.cfg.Own().Config); ok {
+		s.cfg.Behind(Behind{Address: e.Peer})
+	}
+	for service, version := range s.cfg.Own().Tables {
+		if e, ok := s.view.AheadOf(service, version); ok {
+			s.cfg.Behind(Behind{Service: service, Address: e.Peer})
+		}
+	}
+}
+
+// see tells the key duties what is seen of their coordinators.
+func (s *state) see(now clock.Instant) {
+	for service, d := range s.cfg.Keys() {
+		st := d.Status()
+		silent, ended := s.view.Silent(now, st.Coordinator, st.Incarnation)
+		sight := keys.Sight{
+			Coordinator: st.Coordinator, Incarnation: st.Incarnation, Stopping: s.self.Stopping,
+			Sight: shards.Sight{
+				Silent: silent, Ended: ended, Unconfirmed: s.view.Unconfirmed(st.Coordinator, service),
+				Rank: s.view.Rank(service), Heard: s.view.Heard(now),
+			},
+		}
+		if e, ok := s.view.Entry(st.Coordinator); ok {
+			sight.Address = e.Peer
+		}
+		d.See(sight)
+	}
+}
+
+func (s *state) publish() {
+	snapshot, ok := s.view.Snapshot()
+	if !ok {
+		return
+	}
+	for id, p := range snapshot.Nodes {
+		if s.lost[id] == p.Alive {
+			s.lost[id] = !p.Alive
+			s.cfg.Log.WithFields(log.Fields{"node": id, "alive": p.Alive, "incarnation": uint64(p.Incarnation)}).Info("node liveness changed")
+		}
+	}
+	s.snapshot.Store(snapshot)
+}
