Stop in time for what was taken, look out for configurations, drop idle connections

Change: new requests are refused from 3 s after SIGTERM; two nodes ask for the configuration each 700 ms and beacons tell the others; callers are told to keep connections for 3 s; buffers of links are 4 KiB.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -57,7 +57,7 @@
 	req := &a.x.rc.Request.Header
 	h := answerHead{
 		status: status, length: length, fields: a.fields, date: time.Now(),
-		http11: req.IsHTTP11(), head: req.IsHead(), close: a.mustClose(),
+		http11: req.IsHTTP11(), head: req.IsHead(), close: a.mustClose(), keepAlive: a.x.f.cfg.KeepAlive,
 	}
 	h.complete()
 	if h.close {
--- a/frontend/answerhead.go
+++ b/frontend/answerhead.go
@@ -19,6 +19,8 @@
 	http11 bool
 	head   bool // answers HEAD
 	close  bool
+	// keepAlive is how long the caller may leave the connection unused, or 0.
+	keepAlive time.Duration
 	// chunked is set by complete.
 	chunked bool
 }
@@ -68,6 +70,9 @@
 	case !h.http11:
 		b = appendField(b, "Connection", "keep-alive")
 	}
+	if h.keepAlive > 0 && !h.close {
+		b = appendField(b, "Keep-Alive", "timeout="+strconv.FormatInt(int64(h.keepAlive/time.Second), 10))
+	}
 	return append(b, "\r\n"...)
 }
 
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -44,6 +44,9 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds the pause between requests of a connection; 60 s.
 	IdleTimeout time.Duration
+	// KeepAlive tells callers for how long they may leave a connection unused,
+	// in whole seconds; 0 tells nothing. IdleTimeout is at least a second more.
+	KeepAlive time.Duration
 	// BodyIdleTimeout bounds the pause between two reads of a body, and the
 	// time in which a write of an answer must make progress; 30 s.
 	BodyIdleTimeout time.Duration
@@ -68,6 +71,9 @@
 	setInt(&c.MaxHeaderBytes, 32<<10)
 	setTime(&c.HeaderTimeout, 10*time.Second)
 	setTime(&c.IdleTimeout, 60*time.Second)
+	if c.KeepAlive > 0 {
+		c.IdleTimeout = max(c.IdleTimeout, c.KeepAlive+time.Second)
+	}
 	setTime(&c.BodyIdleTimeout, 30*time.Second)
 	if c.Dialect == nil {
 		c.Dialect = native{}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -56,6 +56,8 @@
 	// IdleTimeout is how long an unused connection is kept; 30 s. It should be
 	// shorter than the backend server's own.
 	IdleTimeout time.Duration
+	// BufferSize is the size of each of the two buffers of a connection; 32 KiB.
+	BufferSize int
 	// MaxHeaderBytes bounds the head of a response; 64 KiB.
 	MaxHeaderBytes int64
 }
@@ -76,6 +78,9 @@
 	if c.IdleTimeout <= 0 {
 		c.IdleTimeout = 30 * time.Second
 	}
+	if c.BufferSize <= 0 {
+		c.BufferSize = copySize
+	}
 	if c.MaxHeaderBytes <= 0 {
 		c.MaxHeaderBytes = 64 << 10
 	}
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -113,8 +113,8 @@
 	}
 	p.counts.dialed.Add(1)
 	c := &conn{Conn: nc, headLeft: -1}
-	c.br = bufio.NewReaderSize(c, copySize)
-	c.bw = bufio.NewWriterSize(c, copySize)
+	c.br = bufio.NewReaderSize(c, p.cfg.BufferSize)
+	c.bw = bufio.NewWriterSize(c, p.cfg.BufferSize)
 	return c, nil
 }
 
--- a/peers/link.go
+++ b/peers/link.go
@@ -20,10 +20,13 @@
 	// linkDial bounds a new connection; 100 round trips within a region.
 	linkDial = 300 * time.Millisecond
 	// linkIdle is shorter than the idle timeout of the inbound listener.
-	linkIdle = 20 * time.Second
+	linkIdle = 5 * time.Second
 	// linkSilent is how long sent bytes stay unacknowledged before the
 	// connection counts as lost.
 	linkSilent = 800 * time.Millisecond
+	// linkBuffer holds a usual request or answer head. A node has links to all
+	// others, so the buffers of idle connections count.
+	linkBuffer = 4 << 10
 )
 
 // Link sends requests to one other node.
@@ -35,7 +38,7 @@
 // NewLink returns a link to the inbound address of a node.
 func NewLink(address string) (*Link, error) {
 	g, err := gate.New(gate.Config{
-		BackendAddr: address, Dialect: outbound{}, UserTimeout: linkSilent,
+		BackendAddr: address, Dialect: outbound{}, UserTimeout: linkSilent, BufferSize: linkBuffer,
 		MaxConns: linkConns, ConnWait: linkWait, DialTimeout: linkDial, IdleTimeout: linkIdle,
 	})
 	if err != nil {
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -24,10 +24,9 @@
 
 // Limits of the connections and rings.
 const (
-	// connsPerSlot leaves room beside the requests that run for connections
-	// whose last response is still being read.
-	connsPerSlot = 2
-	maxConns     = 64
+	// maxConns is above the slots of every backend server met, and below the
+	// connections that one accepts.
+	maxConns = 64
 	// dialTimeout bounds a new connection on the same VM.
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout is below the shortest that sites state for backend servers.
@@ -37,9 +36,11 @@
 	// wholeUpTo is the size up to which an answer is read before any of it is
 	// passed on, so that one that breaks off can be replaced.
 	wholeUpTo = 256 << 10
-	offers    = 1024
-	events    = 256
-	queueFor  = 200 * time.Millisecond
+	// bufferSize holds a usual answer.
+	bufferSize = 4 << 10
+	offers     = 1024
+	events     = 256
+	queueFor   = 200 * time.Millisecond
 )
 
 // Config sets up a Server.
@@ -94,7 +95,7 @@
 	}
 	s.load.Store(&load{})
 	g, err := gate.New(gate.Config{
-		BackendAddr: cfg.Address, Dialect: platform.Backend{}, Permit: s.permit, UserTimeout: silentAfter,
+		BackendAddr: cfg.Address, Dialect: platform.Backend{}, Permit: s.permit, UserTimeout: silentAfter, BufferSize: bufferSize,
 		MaxConns: maxConns, DialTimeout: dialTimeout, IdleTimeout: idleTimeout,
 	})
 	if err != nil {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -35,9 +35,13 @@
 const (
 	// workers bounds the calls of all duties that run at once.
 	workers = 16
-	// idleConn is how long callers may leave a connection unused; above the
-	// 15 s of the sites' limits, so that the caller ends it.
-	idleConn = 60 * time.Second
+	// keepAlive is how long callers are told to keep an unused connection, and
+	// idleConn when the node ends it. Many callers open a connection for each
+	// request and leave it; each costs about 20 KB and a descriptor.
+	keepAlive = 3 * time.Second
+	idleConn  = 5 * time.Second
+	// idleLink is how long the other nodes may; above linkIdle of peers.
+	idleLink = 10 * time.Second
 	// maxHead and maxBody bound requests; above the limits that operators set,
 	// which callers keep.
 	maxHead = 64 << 10
@@ -135,6 +139,7 @@
 	}
 	out, in := base, base
 	out.Addr, out.Handler, out.Dialect = s.Callers, n.router, platform.Callers{}
+	out.KeepAlive, in.IdleTimeout = keepAlive, idleLink
 	in.Addr, in.Handler, in.Dialect = s.Inbound, n.backend, peers.Inbound{Loads: n.backend}
 	var err error
 	if n.outbound, err = frontend.New(out); err != nil {
@@ -201,7 +206,7 @@
 	}
 	n.inbound.Start()
 	n.outbound.Start()
-	config := &watch.Duty{Kind: platform.ConfigKind, Store: n.store, Handler: configObjects{n}, Log: n.log}
+	config := &watch.Duty{Kind: platform.ConfigKind, Store: n.store, Handler: configObjects{n}, Log: n.log, Wait: n.configWait}
 	n.run(config.Run)
 	n.run(n.followObjects)
 	n.run(n.watchSettings)
@@ -226,10 +231,28 @@
 		case <-time.After(announceRetry):
 		}
 	}
-	objects := &watch.Duty{Kind: objectKind, Store: n.store, Handler: ownObjects{n}, Log: n.log}
+	objects := &watch.Duty{Kind: objectKind, Store: n.store, Handler: ownObjects{n}, Log: n.log, Wait: func() time.Duration { return watch.Long }}
 	objects.Run(ctx)
 }
 
+// lookouts is the number of nodes that ask for the configuration at short
+// intervals. The second one covers the first while that is lost.
+const lookouts = 2
+
+// configWait returns how long the next watch of the configuration waits.
+func (n *Node) configWait() time.Duration {
+	before := 0
+	for id, p := range n.nodes.Snapshot().Nodes {
+		if p.Alive && !p.Stopping && id < n.self.Node {
+			before++
+		}
+	}
+	if before < lookouts {
+		return watch.Short
+	}
+	return watch.Long
+}
+
 // follow hands a configuration to the duty that starts key duties.
 func (n *Node) follow(c routes.Config) {
 	for {
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -90,6 +90,8 @@
 
 type change struct{ f func(*fleet.Entry) }
 
+type beat struct{}
+
 // New returns a duty; Run runs it.
 func New(cfg Config) *Duty {
 	d := &Duty{cfg: cfg, in: ring.New[message]("fleet", ringSize, ring.DropOldest)}
@@ -114,6 +116,9 @@
 // Remove passes the removal of an entry on.
 func (d *Duty) Remove(id core.NodeID) { d.push(removed{id}) }
 
+// Beat sends a beacon at once.
+func (d *Duty) Beat() { d.push(beat{}) }
+
 // Change changes this node's own entry. The others are told at once.
 func (d *Duty) Change(f func(*fleet.Entry)) { d.push(change{f}) }
 
@@ -124,11 +129,14 @@
 	self   fleet.Entry
 	beacon clock.Instant
 	lost   map[core.NodeID]bool
+	// behind tells when to ask for a key table, or under the empty name for the
+	// configuration.
+	behind map[core.Service]clock.Instant
 }
 
 // Run runs the duty until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
-	s := &state{Duty: d, view: fleet.NewView(d.cfg.Self.Node), self: d.cfg.Self, lost: map[core.NodeID]bool{}}
+	s := &state{Duty: d, view: fleet.NewView(d.cfg.Self.Node), self: d.cfg.Self, lost: map[core.NodeID]bool{}, behind: map[core.Service]clock.Instant{}}
 	s.view.Apply(s.now(), s.self)
 	s.publish()
 	ring.Duty(ctx, d.in, tick, func(m message) { m.apply(s); s.publish() }, s.tick)
@@ -181,6 +189,8 @@
 	s.send()
 }
 
+func (beat) apply(s *state) { s.send() }
+
 // greet sends a beacon to a node that was not known, which then answers.
 func (s *state) greet(e fleet.Entry) {
 	s.cfg.Log.WithFields(log.Fields{"node": e.Node, "peer": e.Peer, "serves": e.Service}).Info("node found")
@@ -221,24 +231,47 @@
 	s.view.Tick(now)
 	if now.Sub(s.beacon) >= beaconEvery {
 		s.send()
-		s.catchUp()
 	}
+	s.catchUp(now)
 	s.see(now)
 	s.cfg.Tick(now, s.view.Size(now))
 	s.publish()
 }
 
+const (
+	// behindFor is how long another node is ahead before it is asked: usually
+	// the store delivers the same change within milliseconds.
+	behindFor = 150 * time.Millisecond
+	// askAgain separates questions for the same thing.
+	askAgain = 400 * time.Millisecond
+)
+
 // catchUp asks for what other nodes have in a newer version. It serves nodes
 // that the store does not reach.
-func (s *state) catchUp() {
-	if e, ok := s.view.Ahead(s.cfg.Own().Config); ok {
-		s.cfg.Behind(Behind{Address: e.Peer})
+func (s *state) catchUp(now clock.Instant) {
+	own := s.cfg.Own()
+	e, ok := s.view.Ahead(own.Config)
+	s.ask(now, Behind{Address: e.Peer}, ok)
+	for service, version := range own.Tables {
+		e, ok := s.view.AheadOf(service, version)
+		s.ask(now, Behind{Service: service, Address: e.Peer}, ok)
 	}
-	for service, version := range s.cfg.Own().Tables {
-		if e, ok := s.view.AheadOf(service, version); ok {
-			s.cfg.Behind(Behind{Service: service, Address: e.Peer})
-		}
+}
+
+// ask asks for one thing once this node has been behind for a while.
+func (s *state) ask(now clock.Instant, b Behind, behind bool) {
+	if !behind {
+		delete(s.behind, b.Service)
+		return
+	}
+	if s.behind[b.Service] == 0 {
+		s.behind[b.Service] = now.Add(behindFor)
+	}
+	if now.Before(s.behind[b.Service]) {
+		return
 	}
+	s.behind[b.Service] = now.Add(askAgain)
+	s.cfg.Behind(b)
 }
 
 // see tells the key duties what is seen of their coordinators.
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -112,6 +112,7 @@
 		"version": c.Version, "revision": o.Revision, "routes": len(c.Routes), "services": len(c.Services), "source": source,
 	}).Info("configuration in force")
 	n.follow(c)
+	n.nodes.Beat()
 }
 
 // ownObjects takes the objects of other nodes over.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -7,22 +7,29 @@
 	"github.com/apex/log"
 
 	"marjoramshore.example/fleet"
+	"marjoramshore.example/frontend"
 )
 
 const (
-	// stopAfter is how long a stopping node takes requests at least: callers
-	// leave after two missed questions a second apart, and other nodes learn
-	// of the stop by a beacon.
+	// stopAfter is how long a stopping node takes requests of callers at least:
+	// they leave after two missed questions a second apart.
 	stopAfter = 2500 * time.Millisecond
+	// stopLatest is when it refuses new ones in any case. What was taken before
+	// has the rest of the grace to end.
+	stopLatest = 3 * time.Second
 	// stopQuiet is how long no request must be in flight before the end.
 	stopQuiet = 200 * time.Millisecond
 	// stopMargin is kept before the kill, for the last lines and the beacon.
 	stopMargin = 300 * time.Millisecond
-	stopPoll   = 50 * time.Millisecond
+	// inboundLast is the part of the grace in which requests of other nodes
+	// are no longer taken, so that those in flight end.
+	inboundLast = 700 * time.Millisecond
+	stopPoll    = 50 * time.Millisecond
 )
 
-// Stop ends the node gracefully: callers are sent away first, requests in
-// flight go on, and the process ends before the platform's grace does.
+// Stop ends the node gracefully: callers are sent away first, then refused, and
+// requests of other nodes go on until the own callers' have ended. The process
+// ends before the platform's grace does.
 func (n *Node) Stop() {
 	grace := n.cfg.Settings.Bounds.Grace - stopMargin
 	n.log.WithFields(log.Fields{"grace_ms": grace.Milliseconds()}).Info("node stops")
@@ -32,16 +39,31 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	n.awaitQuiet(ctx)
-	n.withdraw(ctx)
-	n.log.WithFields(log.Fields{"in_flight": n.inFlight()}).Info("node ends")
+	n.end(ctx, n.outbound, grace-inboundLast)
+	n.end(ctx, n.inbound, grace)
+	n.withdraw()
+	n.log.WithFields(log.Fields{"cut": n.inFlight()}).Info("node ends")
 	n.cancel()
 	_ = n.calls.Close()
 	_ = n.beacons.Close()
 }
 
+// end refuses new requests of a frontend and waits for those in flight, for at
+// most a time from the start of the stop.
+func (n *Node) end(ctx context.Context, f *frontend.Frontend, latest time.Duration) {
+	deadline, _ := ctx.Deadline()
+	at := deadline.Add(latest - (n.cfg.Settings.Bounds.Grace - stopMargin))
+	ctx, cancel := context.WithDeadline(ctx, at)
+	defer cancel()
+	if err := f.Shutdown(ctx); err != nil {
+		n.log.WithError(err).WithField("running", f.Stats().Running).Warn("requests not ended in time")
+	}
+}
+
 func (n *Node) inFlight() int64 { return n.outbound.Stats().Running + n.inbound.Stats().Running }
 
-// awaitQuiet returns once no request has been in flight for a while.
+// awaitQuiet returns once no caller's request has been in flight for a while,
+// or when no more may be taken.
 func (n *Node) awaitQuiet(ctx context.Context) {
 	start := time.Now()
 	quiet := start
@@ -52,19 +74,25 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			if n.inFlight() > 0 {
+			if n.outbound.Stats().Running > 0 {
 				quiet = now
 			}
-			if now.Sub(start) >= stopAfter && now.Sub(quiet) >= stopQuiet {
+			since := now.Sub(start)
+			if since >= stopLatest || since >= stopAfter && now.Sub(quiet) >= stopQuiet {
 				return
 			}
 		}
 	}
 }
 
+// withdrawWithin bounds the removal of the node's address.
+const withdrawWithin = 200 * time.Millisecond
+
 // withdraw removes the node's address when its backend server is gone as well,
 // since then the VM is about to be removed.
-func (n *Node) withdraw(ctx context.Context) {
+func (n *Node) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawWithin)
+	defer cancel()
 	own := n.nodes.Snapshot().Nodes[n.self.Node]
 	if own == nil || own.State == fleet.Ready {
 		return
