--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -13,6 +13,7 @@
 	holder Holder
 	ready  bool
 	slots  int
+	demand float64
 	// since is when the present run was first reported ready.
 	since clock.Instant
 	// ends tells for each run beside the member when the leases given for it
@@ -48,6 +49,7 @@
 	inherited clock.Instant
 	peers     map[core.NodeID]*peer
 	joined    clock.Instant // last change of the set of ready members
+	moved     clock.Instant // last time at which a planned move was under way
 	writing   bool
 	// uncertain is set while a write may still take effect although its answer
 	// is missing. Its fences stay until a later write or read settles it.
@@ -180,7 +182,7 @@
 	if p.holder != r.Holder || p.ready != r.Ready {
 		p.since, c.joined = now, now
 	}
-	p.holder, p.ready, p.slots = r.Holder, r.Ready, max(1, r.Slots)
+	p.holder, p.ready, p.slots, p.demand = r.Holder, r.Ready, max(1, r.Slots), r.Demand
 	p.heard, p.freed, p.over = now, r.Freed, r.Over
 	a := Answer{Term: c.record.Term, Coordinator: true, FreedThrough: c.settled(p)}
 	rows := c.allowed(p)
--- a/shards/member.go
+++ b/shards/member.go
@@ -22,6 +22,8 @@
 	// Ready is false once the run is about to stop.
 	Ready bool
 	Slots int
+	// Demand is that of Request.
+	Demand float64
 	// Holds are the spans that the run holds or still works on.
 	Holds []Row
 	// Freed are the spans released since its last acknowledged report.
@@ -54,6 +56,7 @@
 	holder Holder
 	ready  bool
 	slots  int
+	demand float64
 
 	term    uint64
 	version uint64
@@ -116,7 +119,7 @@
 		m.holder, m.given = r.Holder, nil
 		m.over = slices.DeleteFunc(m.over, func(h Holder) bool { return h == r.Holder })
 	}
-	m.ready, m.slots = r.Ready, r.Slots
+	m.ready, m.slots, m.demand = r.Ready, r.Slots, r.Demand
 	for _, f := range r.Freed {
 		m.release(f.Span, f.Handover)
 	}
@@ -316,7 +319,7 @@
 func (m *Member) Ask() Request {
 	return Request{
 		Service: m.service, Node: m.node, Incarnation: m.inc, Term: m.term,
-		Holder: m.holder, Ready: m.ready, Slots: m.slots,
+		Holder: m.holder, Ready: m.ready, Slots: m.slots, Demand: m.demand,
 		Freed: append([]Freed(nil), m.freed...), Over: append([]Holder(nil), m.over...), Rows: m.version,
 	}
 }
--- a/shards/plan.go
+++ b/shards/plan.go
@@ -3,7 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"time"
+	"strconv"
+	"strings"
 
 	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
@@ -71,37 +72,6 @@
 	return lost && now.After(ends)
 }
 
-// member is a run that keys can be assigned to.
-type member struct {
-	holder Holder
-	slots  int
-	keys   int
-	rows   int
-}
-
-// load is the number of keys for each slot.
-func (m *member) load() float64 { return float64(m.keys) / float64(m.slots) }
-
-// members returns the runs that take keys, in a fixed order.
-func (c *Coordinator) members(now clock.Instant, rows []Row) []*member {
-	var list []*member
-	for node, p := range c.peers {
-		if !p.ready || p.holder == None || p.holder.Node != node || now.Sub(p.heard) > c.timing.Lease/2 {
-			continue
-		}
-		m := &member{holder: p.holder, slots: p.slots}
-		for _, r := range rows {
-			if r.Holder == p.holder {
-				m.keys += r.Width()
-				m.rows++
-			}
-		}
-		list = append(list, m)
-	}
-	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.holder.Node, b.holder.Node) })
-	return list
-}
-
 // assign gives the rows without a holder to members.
 func (c *Coordinator) assign(now clock.Instant, rows []Row) []Row {
 	members := c.members(now, rows)
@@ -122,7 +92,6 @@
 		m := slices.MinFunc(members, func(a, b *member) int { return cmp.Compare(a.load(), b.load()) })
 		rows[i].Holder, rows[i].Fence = m.holder, fence
 		m.keys += rows[i].Width()
-		m.rows++
 	}
 	return c.changed(rows)
 }
@@ -152,65 +121,6 @@
 	return rows
 }
 
-const (
-	// joinDelay is how long a new member must stay before keys move to it, so
-	// that one that fails again at once costs no move.
-	joinDelay = 500 * time.Millisecond
-	// minShare is the part of a fair share below which a member gets keys from
-	// others.
-	minShare = 0.5
-)
-
-// rebalance asks the members with most keys to return some when a member has
-// far less than its share. The returned keys go to the member with the fewest.
-func (c *Coordinator) rebalance(now clock.Instant) {
-	if c.moves() || !c.authority(now) || now.Sub(c.since) < c.timing.Lease {
-		return
-	}
-	members := c.members(now, c.record.Rows)
-	slots := 0
-	for _, m := range members {
-		slots += m.slots
-	}
-	for _, m := range members {
-		fair := float64(Keys) * float64(m.slots) / float64(slots)
-		p := c.peers[m.holder.Node]
-		if float64(m.keys) >= minShare*fair || now.Sub(p.since) < joinDelay {
-			continue
-		}
-		c.moveTo(m, members, int(fair)-m.keys)
-		return
-	}
-}
-
-// moves reports whether a planned move is under way.
-func (c *Coordinator) moves() bool {
-	for _, p := range c.peers {
-		if len(p.moving) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// moveTo marks rows of the members with most keys until m can have want more.
-func (c *Coordinator) moveTo(m *member, members []*member, want int) {
-	rows := slices.Clone(c.record.Rows)
-	for want > 0 {
-		from := slices.MaxFunc(members, func(a, b *member) int { return cmp.Compare(a.load(), b.load()) })
-		at := slices.IndexFunc(rows, func(r Row) bool { return r.Holder == from.holder && r.Width() <= 2*want })
-		if from == m || at < 0 {
-			return
-		}
-		r := rows[at]
-		rows[at].Holder = None
-		p := c.peers[from.holder.Node]
-		p.moving = append(p.moving, r)
-		from.keys -= r.Width()
-		want -= r.Width()
-	}
-}
-
 // Known returns the nodes that reported to this coordinator lately.
 func (c *Coordinator) Known(now clock.Instant) []core.NodeID {
 	var out []core.NodeID
@@ -222,3 +132,15 @@
 	slices.Sort(out)
 	return out
 }
+
+// Demand lists the demand of the members for logs, as node:percent.
+func (c *Coordinator) Demand() string {
+	var parts []string
+	for node, p := range c.peers {
+		if p.holder != None {
+			parts = append(parts, string(node)+":"+strconv.Itoa(int(100*p.demand)))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ",")
+}
--- a/shards/types.go
+++ b/shards/types.go
@@ -104,6 +104,9 @@
 	Ready bool
 	// Slots is the number of requests that the run works on at once.
 	Slots int
+	// Demand is the work that callers ask of the run, as a part of what its
+	// slots can do; above 1 it cannot do all of it.
+	Demand float64
 	// Freed lists releases that are not yet acknowledged.
 	Freed []Freed
 	// Over lists earlier runs beside this member that have ended.
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -80,6 +80,8 @@
 	// closing is when requests may no longer be sent to the present run, or 0.
 	closing atomic.Int64
 	sent    atomic.Int64
+	// demand holds the bits of a float64.
+	demand atomic.Uint64
 }
 
 type load struct {
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"syscall"
 	"time"
 
@@ -75,6 +76,34 @@
 	reported clock.Instant
 	silent   bool
 	refused  int
+	arrivals int
+	counted  clock.Instant
+}
+
+const (
+	// demandEvery is the interval at which the demand is measured.
+	demandEvery = 250 * time.Millisecond
+	// demandWeight is the weight of one interval; the average follows a change
+	// within about 1.7 s.
+	demandWeight = 0.15
+	// maxDemand bounds one interval, since refused callers come again.
+	maxDemand = 3
+)
+
+// measure updates the demand: the work that arrived, as a part of what the
+// slots can do.
+func (st *state) measure() {
+	now := st.now()
+	since := now.Sub(st.counted)
+	q := st.queue.Stats()
+	if since < demandEvery || q.Slots == 0 {
+		return
+	}
+	work := float64(st.arrivals) * q.Service.Seconds()
+	d := min(work/(since.Seconds()*float64(q.Slots)), maxDemand)
+	old := math.Float64frombits(st.demand.Load())
+	st.demand.Store(math.Float64bits(old + demandWeight*(d-old)))
+	st.arrivals, st.counted = 0, now
 }
 
 // Run runs the duty until ctx ends.
@@ -154,6 +183,7 @@
 }
 
 func (st *state) offer(o *offer) {
+	st.arrivals++
 	d := st.queue.Offer(st.now(), &o.ticket)
 	switch d.Verdict {
 	case slotqueue.Admit:
@@ -191,6 +221,7 @@
 }
 
 func (st *state) tick() {
+	st.measure()
 	refused, started := st.queue.Expire(st.now())
 	st.refuse(refused, core.CodeDeadlineNotRun, "no slot before the deadline")
 	st.start(started)
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/apex/log"
 
@@ -28,6 +29,7 @@
 	}
 	ack.Grant, ok = d.Grant(ctx, shards.Report{
 		Holder: s.holder(r), Ready: !r.Leaving, Slots: r.Slots, Holds: r.Holds, Freed: r.Freed,
+		Demand: math.Float64frombits(s.demand.Load()),
 	})
 	return ack, ok
 }
--- a/sidecar/keys/duty.go
+++ b/sidecar/keys/duty.go
@@ -257,7 +257,7 @@
 	}
 	_, revision := s.coord.Record()
 	s.log(log.Fields{
-		"rows": len(next.Rows), "fence": next.NextFence, "members": len(s.coord.Known(now)), "settled": next.Settled,
+		"demand": s.coord.Demand(), "rows": len(next.Rows), "fence": next.NextFence, "members": len(s.coord.Known(now)), "settled": next.Settled,
 	}).Info("assignment planned")
 	s.write(next, revision, nil)
 }
