Test the sidecar through stand-ins of the store and backend servers

standin/objects speaks the store's protocol and can be down, lose answers and forget history; standin/keyed reports, holds keys and answers requests.

--- /dev/null
+++ b/standin/keyed/keyed.go
@@ -0,0 +1,251 @@
+// Package keyed is a small stand-in for a backend server of the users'
+// platform. It reports its state to the node beside it, holds the keys that it
+// is granted, and answers requests on them.
+package keyed
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Config sets up a Server.
+type Config struct {
+	Service, Instance string
+	// Reports is where status reports go.
+	Reports string
+	Sharded bool
+	Slots   int
+	// Work is how long a request takes.
+	Work time.Duration
+	// Every is the interval of status reports.
+	Every time.Duration
+}
+
+// Row is a granted span of keys.
+type Row struct {
+	From, To int
+	Fence    int64
+}
+
+// Server is the stand-in. Its methods are safe for concurrent use.
+type Server struct {
+	cfg  Config
+	ln   net.Listener
+	http *http.Server
+	born int64
+
+	mu      sync.Mutex
+	rows    []Row
+	until   time.Time
+	freed   [][]any
+	leaving bool
+	runs    map[string]int
+
+	stop    chan struct{}
+	stopped sync.WaitGroup
+	seq     int
+	running atomic.Int64
+	peak    atomic.Int64
+}
+
+// Start serves on an address.
+func Start(address string, cfg Config) (*Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, ln: ln, born: time.Now().UnixMilli(), runs: make(map[string]int), stop: make(chan struct{})}
+	s.http = &http.Server{Handler: s}
+	s.stopped.Go(func() {
+		// Serve returns when the listener is closed.
+		_ = s.http.Serve(ln)
+	})
+	s.stopped.Go(s.report)
+	return s, nil
+}
+
+// Crash ends the server without a word.
+func (s *Server) Crash() {
+	close(s.stop)
+	_ = s.http.Close()
+	s.stopped.Wait()
+}
+
+// Leave reports from now on that the run is about to stop.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Rows returns the keys that the run holds now.
+func (s *Server) Rows() []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !time.Now().Before(s.until) {
+		return nil
+	}
+	return append([]Row(nil), s.rows...)
+}
+
+// Runs returns how often a request ran.
+func (s *Server) Runs(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// Peak returns the greatest number of requests that ran at once.
+func (s *Server) Peak() int64 { return s.peak.Load() }
+
+func (s *Server) holds(key int) bool {
+	if !time.Now().Before(s.until) {
+		return false
+	}
+	for _, r := range s.rows {
+		if r.From <= key && key <= r.To {
+			return true
+		}
+	}
+	return false
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Marjoramshore-Attempt-Id")
+	w.Header().Set("X-Marjoramshore-Attempt-Id", id)
+	want := r.Header.Get("X-Marjoramshore-Expected-Instance")
+	key, _ := strconv.Atoi(r.Header.Get("X-Marjoramshore-Shard-Key"))
+	s.mu.Lock()
+	misdirected := want != "" && want != s.cfg.Instance || s.cfg.Sharded && !s.holds(key)
+	if !misdirected {
+		s.runs[id]++
+	}
+	s.mu.Unlock()
+	if misdirected {
+		w.Header().Set("X-Marjoramshore-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	n := s.running.Add(1)
+	defer s.running.Add(-1)
+	for p := s.peak.Load(); n > p && !s.peak.CompareAndSwap(p, n); p = s.peak.Load() {
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	select {
+	case <-time.After(s.cfg.Work):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("X-Marjoramshore-Response-Signature", "signed-by-"+s.cfg.Instance)
+	fmt.Fprintf(w, "%s %s %d %s", r.Method, r.RequestURI, len(body), r.Header.Get("X-Marjoramshore-Caller-Service"))
+}
+
+// report sends status reports until the server ends.
+func (s *Server) report() {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	t := time.NewTicker(s.cfg.Every)
+	defer t.Stop()
+	for {
+		more := s.send(client)
+		for more {
+			more = s.send(client)
+		}
+		select {
+		case <-s.stop:
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// send makes one report and takes the grant of its answer. It reports whether
+// keys were released, so that another report follows at once.
+func (s *Server) send(client *http.Client) bool {
+	sent := time.Now()
+	s.mu.Lock()
+	s.seq++
+	state := "ready"
+	if s.leaving {
+		state = "draining"
+	}
+	doc := map[string]any{
+		"address": s.ln.Addr().String(), "born": s.born,
+		"info":   map[string]any{"service": s.cfg.Service, "version": "v1", "zone": "a", "slots": s.cfg.Slots},
+		"status": map[string]any{"state": state, "seq": s.seq, "cold-remaining": "0ms"},
+	}
+	freed := len(s.freed)
+	if s.cfg.Sharded {
+		rows := make([][]any, 0, len(s.rows))
+		if sent.Before(s.until) {
+			for _, r := range s.rows {
+				rows = append(rows, []any{r.From, r.To, r.Fence})
+			}
+		}
+		doc["holds"], doc["freed"] = rows, append([][]any{}, s.freed...)
+	}
+	s.mu.Unlock()
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Post("http://"+s.cfg.Reports+"/instances/"+s.cfg.Instance+"/heartbeat", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var grant struct {
+		Holds [][]any `json:"holds"`
+		Time  string  `json:"hold_time"`
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&grant) != nil {
+		return false
+	}
+	return s.take(sent, grant.Holds, grant.Time, freed)
+}
+
+func (s *Server) take(sent time.Time, holds [][]any, text string, acked int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freed = s.freed[acked:]
+	hold, err := time.ParseDuration(text)
+	if err != nil || holds == nil {
+		return false
+	}
+	var rows []Row
+	for _, h := range holds {
+		rows = append(rows, Row{int(h[0].(float64)), int(h[1].(float64)), int64(h[2].(float64))})
+	}
+	released := false
+	if time.Now().Before(s.until) {
+		for _, old := range s.rows {
+			if !covered(old, rows) {
+				s.freed = append(s.freed, []any{old.From, old.To, "state-" + strconv.Itoa(old.From)})
+				released = true
+			}
+		}
+	}
+	s.rows, s.until = rows, sent.Add(hold)
+	return released
+}
+
+func covered(r Row, rows []Row) bool {
+	for _, x := range rows {
+		if x.From <= r.From && r.To <= x.To {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standin/objects/objects.go
@@ -0,0 +1,263 @@
+// Package objects is a small stand-in for the platform's object store. It keeps
+// objects in memory, speaks the store's protocol over HTTP, and can be told to
+// fail: to be down, to lose the answers of writes, and to forget its history.
+package objects
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type metadata struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+type event struct {
+	Object  object `json:"object"`
+	Deleted bool   `json:"deleted"`
+	kind    string
+}
+
+// Store is the stand-in. Its methods are safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]object
+	history  []event
+	oldest   uint64
+	changed  chan struct{}
+	down     bool
+	lose     int
+	calls    int
+
+	server *http.Server
+	ln     net.Listener
+}
+
+// New returns a store that serves on a loopback address.
+func New() (*Store, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{revision: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{}), ln: ln}
+	s.server = &http.Server{Handler: s}
+	go func() {
+		// Serve returns when the listener is closed.
+		_ = s.server.Serve(ln)
+	}()
+	return s, nil
+}
+
+// Addr returns the store's host and port.
+func (s *Store) Addr() string { return s.ln.Addr().String() }
+
+// Close ends the store and its connections.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// SetDown makes every call fail without an answer, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// LoseAnswers makes the store do the next n writes without answering them.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision
+	s.wake()
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes an object as an operator does.
+func (s *Store) Put(kind, name string, spec json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, spec)
+}
+
+func (s *Store) put(kind, name string, spec json.RawMessage) object {
+	s.revision++
+	o := object{Metadata: metadata{name, s.revision}, Spec: slices.Clone(spec)}
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = make(map[string]object)
+	}
+	s.kinds[kind][name] = o
+	s.history = append(s.history, event{Object: o, kind: kind})
+	s.wake()
+	return o
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rest, ok := strings.CutPrefix(r.URL.Path, "/objects/")
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	kind, name, _ := strings.Cut(rest, "/")
+	s.mu.Lock()
+	s.calls++
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet && name == "":
+		s.list(w, kind)
+	case r.Method == http.MethodGet:
+		s.get(w, kind, name)
+	default:
+		s.write(w, r, kind, name)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that left does not need the answer.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, ok := s.kinds[kind][name]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, o)
+}
+
+func (s *Store) list(w http.ResponseWriter, kind string) {
+	s.mu.Lock()
+	items := make([]object, 0, len(s.kinds[kind]))
+	for _, o := range s.kinds[kind] {
+		items = append(items, o)
+	}
+	revision := s.revision
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
+	answer(w, http.StatusOK, map[string]any{"items": items, "more": false, "current-rev": revision})
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var o object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	s.mu.Lock()
+	status, v := s.change(r.Method, kind, name, o)
+	lost := s.lose > 0 && status == http.StatusOK
+	if lost {
+		s.lose--
+	}
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, status, v)
+}
+
+// change carries one write out. The lock is held.
+func (s *Store) change(method, kind, name string, o object) (int, any) {
+	if method == http.MethodPost {
+		name = o.Metadata.Name
+	}
+	old, exists := s.kinds[kind][name]
+	switch {
+	case method == http.MethodPost && exists:
+		return http.StatusConflict, old
+	case method != http.MethodPost && !exists:
+		return http.StatusNotFound, nil
+	case o.Metadata.Revision != 0 && o.Metadata.Revision != old.Metadata.Revision:
+		return http.StatusConflict, old
+	case method == http.MethodDelete:
+		s.revision++
+		delete(s.kinds[kind], name)
+		s.history = append(s.history, event{Object: object{Metadata: metadata{name, s.revision}}, Deleted: true, kind: kind})
+		s.wake()
+		return http.StatusOK, nil
+	}
+	return http.StatusOK, s.put(kind, name, o.Spec)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, werr := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	if err != nil || werr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		changed, revision, gone, down := s.changed, s.revision, from < s.oldest, s.down
+		events := make([]event, 0)
+		for _, e := range s.history {
+			if e.kind == kind && e.Object.Metadata.Revision > from {
+				events = append(events, e)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			panic(http.ErrAbortHandler)
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0:
+			answer(w, http.StatusOK, map[string]any{"events": events, "current-rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			answer(w, http.StatusOK, map[string]any{"events": events, "current-rev": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
