Relieve overloaded members only while another one has room

Change: members above 0.9 are relieved together, by a twelfth of the keys at most, and only while one is below 0.7.

--- a/shards/balance.go
+++ b/shards/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,20 +18,23 @@
 	minShare = 0.5
 	// settleIn is how long the demand of a new run says little: it is cold, and
 	// its average is young.
-	settleIn = 4 * time.Second
+	settleIn = 3 * time.Second
 	// overloaded is the demand from which keys move away. Below it, queues are
 	// short and a move costs more than it gains.
 	overloaded = 0.9
+	// roomy is the demand of a member that can take more. Without one, a move
+	// only adds to the time in which keys are unavailable.
+	roomy = 0.7
 	// spread is the least difference in demand that a move is worth: moved keys
 	// are unavailable for about 1.7 s.
 	spread = 0.3
 	// correction is the part of an excess that one move corrects, because the
 	// demand of single keys is not known.
 	correction = 0.7
-	// batch bounds the keys of one move, as a part of all keys.
-	batch = 0.06
+	// batch bounds the keys of one move, a twelfth of all keys.
+	batch = Keys / 12
 	// rest separates moves, so that the averages show the effect of the last.
-	rest = 2500 * time.Millisecond
+	rest = 2 * time.Second
 	// idleDemand stands for the demand of a fair share of keys without traffic.
 	idleDemand = 0.05
 )
@@ -131,28 +135,30 @@
 	return nil, 0
 }
 
-// relieve moves keys away from the member with the greatest demand.
+// relieve moves keys away from the members whose demand is too great, as long
+// as others have room.
 func (c *Coordinator) relieve(members []*member) {
-	var high, low *member
-	mean := 0.0
+	low, mean, n := math.Inf(1), 0.0, 0.0
 	for _, m := range members {
-		if !m.known {
-			continue
-		}
-		mean += m.demand
-		if high == nil || m.demand > high.demand {
-			high = m
-		}
-		if low == nil || m.demand < low.demand {
-			low = m
+		if m.known {
+			mean += m.demand
+			low = min(low, m.demand)
+			n++
 		}
 	}
-	if high == nil || high.demand < overloaded || high.demand-low.demand < spread {
+	if low > roomy {
 		return
 	}
-	mean /= float64(len(members))
-	want := min(correction*(high.demand-mean)/high.demand*float64(high.keys), batch*Keys)
-	c.returnKeys(high, slices.Clone(c.record.Rows), int(want))
+	mean /= n
+	rows := slices.Clone(c.record.Rows)
+	left := batch
+	for _, m := range members {
+		if !m.known || m.demand < overloaded || m.demand-low < spread || m.demand <= mean {
+			continue
+		}
+		want := int(correction * (m.demand - mean) / m.demand * float64(m.keys))
+		left -= c.returnKeys(m, rows, min(want, left))
+	}
 }
 
 // moves reports whether a planned move is under way.
