Promise 'not run' only when no earlier attempt may have run

Cause: a request that may be repeated was refused with 503 after an attempt with an unknown outcome, when the next attempt was refused before it was sent. Change: such a request ends with 502. The router has tests of its own with scripted attempts; the new one fails without the change.

--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -116,10 +116,12 @@
 	tried    []core.NodeID
 	arrivals int
 	refusals int
-	sends    int
-	held     time.Duration
-	peer     *fleet.Peer
-	version  uint64
+	// mayHaveRun is set after an attempt whose outcome is unknown.
+	mayHaveRun bool
+	sends      int
+	held       time.Duration
+	peer       *fleet.Peer
+	version    uint64
 }
 
 // Serve implements core.Handler.
@@ -248,6 +250,7 @@
 	if e.Arrived || !e.Code.NotRun() {
 		x.arrivals++
 	}
+	x.mayHaveRun = x.mayHaveRun || !e.Code.NotRun()
 	return dispatch.Attempt{
 		Err: e, Keyed: x.sharded, Idempotent: x.req.Idempotent, BodySpent: x.spent,
 		Arrivals: x.arrivals, Attempts: x.choice.Attempts, Refusals: x.refusals,
@@ -352,6 +355,10 @@
 
 // end completes a failure for the caller.
 func (x *request) end(e *core.Error) *core.Error {
+	if x.mayHaveRun && e.Code.NotRun() {
+		// The last attempt did not run, but an earlier one may have.
+		e = &core.Error{Code: core.CodeUnknown, Detail: "an earlier attempt may have run; the last one: " + e.Code.String(), Cause: e}
+	}
 	if e.Code.NotRun() && e.RetryAfter == 0 {
 		e.RetryAfter = returnMin + rand.N(returnMax-returnMin)
 	}
--- /dev/null
+++ b/sidecar/router/router_test.go
@@ -0,0 +1,136 @@
+package router
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/dispatch"
+	"marjoramshore.example/fleet"
+	"marjoramshore.example/routes"
+	"marjoramshore.example/sidecar/keys"
+)
+
+// script answers the attempts of one request in turn.
+type script struct {
+	answers []*core.Error // nil is a success
+	bodies  []string
+	nodes   []core.NodeID
+}
+
+// Send implements Sender.
+func (s *script) Send(_ context.Context, p *fleet.Peer, req *core.Request) (*core.Response, error) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, err
+	}
+	s.bodies, s.nodes = append(s.bodies, string(body)), append(s.nodes, p.Node)
+	e := s.answers[len(s.bodies)-1]
+	if e != nil {
+		return nil, e
+	}
+	return &core.Response{Status: 200, Body: core.NoBody}, nil
+}
+
+func fail(c core.Code) *core.Error { return core.Fail(c, "scripted") }
+
+func arrived(c core.Code) *core.Error { return &core.Error{Code: c, Detail: "scripted", Arrived: true} }
+
+// serve sends one request through a router whose attempts follow the script.
+func serve(t *testing.T, s *script, kind routes.Kind, body string) (*core.Response, *core.Error) {
+	peers := make([]*fleet.Peer, 0, 3)
+	for _, id := range []string{"a", "b", "c"} {
+		peers = append(peers, &fleet.Peer{
+			Entry: fleet.Entry{Node: core.NodeID(id), Service: "s", State: fleet.Ready, Slots: 4}, Alive: true, Load: &fleet.Load{},
+		})
+	}
+	var inForce routes.InForce
+	inForce.Offer(routes.Compile(routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}, Routes: []routes.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: kind, Timeout: time.Second, Target: 400 * time.Millisecond, Attempts: 2,
+		Parts: []routes.Part{{Service: "s", Weight: 1}},
+	}}}))
+	budget := dispatch.NewBudget(dispatch.BudgetConfig{Ratio: 0.2, Floor: 60, Window: 10 * time.Second})
+	clk := clock.NewReal()
+	budget.Tick(clk.Now(), []core.Service{"s"}, 1)
+	ended := 0
+	r := New(Config{
+		Node: "x", Origin: "origin", Clock: clk, Log: &log.Logger{Handler: discard.Default}, Routes: &inForce,
+		Fleet:  func() *fleet.Snapshot { return &fleet.Snapshot{Services: map[core.Service][]*fleet.Peer{"s": peers}} },
+		Keys:   func(core.Service) *keys.Duty { return nil },
+		Budget: budget, Sender: s, Ended: func(Summary) { ended++ },
+	})
+	req := &core.Request{
+		ID: "id", Method: "POST", Path: "/x", Header: []core.Field{{Name: "Host", Value: "h"}},
+		Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+	}
+	resp, err := r.Serve(context.Background(), req)
+	must.Eq(t, 1, ended)
+	if err != nil {
+		return nil, core.AsError(err)
+	}
+	must.NoError(t, resp.Body.Close())
+	return resp, nil
+}
+
+// Guards against 'not run' for a request of which an earlier attempt may have
+// run.
+func TestNoPromiseAfterAnUnknownAttempt(t *testing.T) {
+	s := &script{answers: []*core.Error{fail(core.CodeUnknown), fail(core.CodeQueueFull), fail(core.CodeQueueFull), fail(core.CodeQueueFull), fail(core.CodeQueueFull)}}
+	_, err := serve(t, s, routes.Idempotent, "")
+	must.NotNil(t, err)
+	must.Eq(t, core.CodeUnknown, err.Code)
+	must.False(t, err.Code.NotRun())
+	must.Eq(t, 0, err.RetryAfter)
+}
+
+// Guards against a second run of a request that is not idempotent.
+func TestUnknownIsNotRepeated(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.NonIdempotent, routes.Upload} {
+		s := &script{answers: []*core.Error{fail(core.CodeUnknown)}}
+		_, err := serve(t, s, kind, "body")
+		must.Eq(t, core.CodeUnknown, err.Code)
+		must.Len(t, 1, s.nodes)
+	}
+}
+
+// Guards against a repeat that goes to the same backend server, sends another
+// body, or exceeds the attempts of the route.
+func TestRepeatAfterStatedRefusal(t *testing.T) {
+	s := &script{answers: []*core.Error{arrived(core.CodeOverloaded), nil}}
+	resp, err := serve(t, s, routes.NonIdempotent, "body")
+	must.Nil(t, err)
+	must.Eq(t, 200, resp.Status)
+	must.Eq(t, []string{"body", "body"}, s.bodies)
+	must.NotEq(t, s.nodes[0], s.nodes[1])
+
+	s = &script{answers: []*core.Error{arrived(core.CodeOverloaded), arrived(core.CodeOverloaded)}}
+	_, err = serve(t, s, routes.NonIdempotent, "")
+	must.Eq(t, core.CodeOverloaded, err.Code)
+	must.Positive(t, err.RetryAfter)
+	must.Len(t, 2, s.nodes)
+}
+
+// Guards against refusals between nodes that use up the attempts of the route.
+func TestRefusalsBetweenNodesAreFree(t *testing.T) {
+	s := &script{answers: []*core.Error{fail(core.CodeQueueFull), fail(core.CodeDraining), nil}}
+	_, err := serve(t, s, routes.NonIdempotent, "body")
+	must.Nil(t, err)
+	must.Len(t, 3, s.nodes)
+}
+
+// Guards against 404 before any configuration is known.
+func TestNoConfigurationIsNotNotFound(t *testing.T) {
+	r := New(Config{Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default}, Routes: &routes.InForce{}, Ended: func(Summary) {}})
+	_, err := r.Serve(context.Background(), &core.Request{Path: "/", Body: core.NoBody})
+	e := core.AsError(err)
+	must.True(t, e.Code.NotRun())
+	must.Positive(t, e.RetryAfter)
+}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -41,6 +41,7 @@
 	n.awaitQuiet(ctx)
 	n.end(ctx, n.outbound, grace-inboundLast)
 	n.end(ctx, n.inbound, grace)
+	n.links.close(ctx)
 	n.withdraw()
 	n.log.WithFields(log.Fields{"cut": n.inFlight()}).Info("node ends")
 	n.cancel()
