--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,178 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/fleet"
+	"marjoramshore.example/frontend"
+	"marjoramshore.example/shards"
+)
+
+type loads struct{}
+
+// Load implements Loads.
+func (loads) Load() (int, int, time.Duration) { return 7, 3, 40 * time.Millisecond }
+
+// hop serves a handler as another node and returns a link to it.
+func hop(t *testing.T, h core.HandlerFunc) *Link {
+	f, err := frontend.New(frontend.Config{Addr: "127.0.0.1:0", Handler: h, Dialect: Inbound{Loads: loads{}}})
+	must.NoError(t, err)
+	f.Start()
+	t.Cleanup(func() { must.NoError(t, f.Close()) })
+	l, err := NewLink(f.Addr())
+	must.NoError(t, err)
+	return l
+}
+
+func request(now time.Time) *core.Request {
+	return &core.Request{
+		ID: "id-1", Service: "prices", Key: "77", Route: "look", Idempotent: true, Priority: 2, Attempt: 1,
+		Instance: "i-1", Origin: "reports", Deadline: now.Add(2 * time.Second), Target: now.Add(time.Second),
+		Method: "GET", Path: "/a/1?x=%2F", Body: core.NoBody,
+		Header: []core.Field{{Name: "Host", Value: "h.example"}, {Name: "X-Other", Value: "kept"}, {Name: hopCode, Value: "1"}},
+	}
+}
+
+// Guards against a field of a request that is lost or changed between nodes.
+func TestHopKeepsTheRequest(t *testing.T) {
+	now := time.Now()
+	var got *core.Request
+	l := hop(t, func(_ context.Context, r *core.Request) (*core.Response, error) {
+		got = r
+		return &core.Response{Status: 201, Header: []core.Field{{Name: "X-Mine", Value: "1"}, {Name: hopCode, Value: "3"}}, Body: core.NoBody}, nil
+	})
+	var load fleet.Load
+	want := request(now)
+	resp, err := l.Send(context.Background(), clock.NewReal(), want, &load)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, 201, resp.Status)
+	must.SliceContains(t, resp.Header, core.Field{Name: "X-Mine", Value: "1"})
+	for _, f := range resp.Header {
+		must.False(t, strings.HasPrefix(f.Name, hopPrefix), must.Sprint("a field between nodes reached the caller"))
+	}
+	must.Eq(t, []any{want.ID, want.Service, want.Key, want.Route, true, 2, 1, "i-1", want.Origin, want.Method, want.Path},
+		[]any{got.ID, got.Service, got.Key, got.Route, got.Idempotent, got.Priority, got.Attempt, got.Instance, got.Origin, got.Method, got.Path})
+	must.SliceContains(t, got.Header, core.Field{Name: "X-Other", Value: "kept"})
+	must.Between(t, -100*time.Millisecond, got.Deadline.Sub(want.Deadline), 100*time.Millisecond)
+	must.Between(t, -100*time.Millisecond, got.Target.Sub(want.Target), 100*time.Millisecond)
+	running, waiting := load.Running()
+	must.Eq(t, []int64{7, 3}, []int64{running, waiting})
+	must.Eq(t, 0, load.Sent.Load())
+}
+
+// Guards against a failure that loses what it says of whether the request ran.
+func TestHopKeepsFailures(t *testing.T) {
+	for code := core.CodeInvalid; code <= core.CodeDeadline; code++ {
+		l := hop(t, func(context.Context, *core.Request) (*core.Response, error) {
+			return nil, &core.Error{Code: code, Detail: "why", RetryAfter: 250 * time.Millisecond, Arrived: true}
+		})
+		_, err := l.Send(context.Background(), clock.NewReal(), request(time.Now()), &fleet.Load{})
+		e := core.AsError(err)
+		must.Eq(t, code, e.Code)
+		must.Eq(t, "why", e.Detail)
+		must.Eq(t, 250*time.Millisecond, e.RetryAfter)
+		must.True(t, e.Arrived)
+	}
+}
+
+// Guards against 'not run' for an answer of a node that cannot be read.
+func TestUnreadableFailureIsUnknown(t *testing.T) {
+	for _, value := range []string{"", "x", "0", "250", "-1"} {
+		e := failureOf([]core.Field{{Name: hopCode, Value: value}})
+		must.Eq(t, core.CodeUnknown, e.Code, must.Sprint(value))
+	}
+}
+
+// Guards against a lost node that is taken for one that may have run a request.
+func TestUnreachableNodeDidNotRunIt(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, ln.Close())
+	l, err := NewLink(ln.Addr().String())
+	must.NoError(t, err)
+	var load fleet.Load
+	clk := clock.NewReal()
+	_, err = l.Send(context.Background(), clk, request(time.Now()), &load)
+	e := core.AsError(err)
+	must.Eq(t, core.CodePeerUnreachable, e.Code)
+	must.True(t, e.Code.NotRun())
+	must.True(t, load.Avoid(clk.Now()))
+}
+
+// calls answers with what it was asked.
+type calls struct{}
+
+// Report implements Handler.
+func (calls) Report(_ context.Context, r shards.Request) shards.Answer {
+	return shards.Answer{Term: r.Term + 1, Coordinator: true, Lease: 3 * time.Second, Rows: []shards.Row{
+		{Span: shards.Span{From: 1, To: 9}, Holder: r.Holder, Fence: 1 << 40, Handover: "state"},
+	}}
+}
+
+// StepDown implements Handler.
+func (calls) StepDown(_ context.Context, r StepDownRequest) StepDownAnswer {
+	return StepDownAnswer{Done: r.Term == 4}
+}
+
+// Document implements Handler.
+func (calls) Document(_ context.Context, r DocumentRequest) DocumentAnswer {
+	return DocumentAnswer{Revision: 9, Spec: []byte(fmt.Sprintf(`{"kind":%q}`, r.Kind))}
+}
+
+// Guards against fields that the codec of the calls drops.
+func TestCalls(t *testing.T) {
+	server := httptest.NewServer(NewMux(calls{}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	c, ctx := NewCaller(), context.Background()
+	h := shards.Holder{Node: "n", Instance: "i", Born: 1790000000000}
+	a, err := c.Report(ctx, address, shards.Request{Service: "s", Term: 6, Holder: h, Demand: 0.5})
+	must.NoError(t, err)
+	must.Eq(t, shards.Answer{Term: 7, Coordinator: true, Lease: 3 * time.Second, Rows: []shards.Row{
+		{Span: shards.Span{From: 1, To: 9}, Holder: h, Fence: 1 << 40, Handover: "state"},
+	}}, a)
+	s, err := c.StepDown(ctx, address, StepDownRequest{Service: "s", Term: 4})
+	must.NoError(t, err)
+	must.True(t, s.Done)
+	d, err := c.Document(ctx, address, DocumentRequest{Kind: "config"})
+	must.NoError(t, err)
+	must.Eq(t, `{"kind":"config"}`, string(d.Spec))
+	server.Config.Handler = http.NotFoundHandler()
+	_, err = c.StepDown(ctx, address, StepDownRequest{})
+	must.Error(t, err)
+}
+
+// Guards against a beacon of a fleet's usual content that exceeds one packet.
+func TestBeaconRoundTrip(t *testing.T) {
+	a, err := ListenBeacons("127.0.0.1:0")
+	must.NoError(t, err)
+	defer a.Close()
+	want := fleet.Beacon{
+		Entry: fleet.Entry{
+			Node: "sidecar-fi-south-a-1", Incarnation: 1<<63 + 5, Started: 1790000000000, DataCentre: "fi-south-a",
+			Inbound: "10.100.100.38:8146", Peer: "10.100.100.38:7380", Service: "huvo11a", Serial: 9,
+			Instance: "i-7f3a91c2", Born: 1790000000000, State: fleet.Ready, Slots: 15,
+		},
+		Running: 15, Waiting: 40, ServiceMicros: 80000, Config: 12,
+		Tables: map[core.Service]uint64{"huvo11a": 4711, "wuno96b": 4712}, Unconfirmed: map[core.Service]int64{"huvo11a": 1200},
+	}
+	data, err := Encode(want)
+	must.NoError(t, err)
+	must.Less(t, maxBeacon, len(data))
+	must.NoError(t, a.Send(data, a.conn.LocalAddr().String()))
+	got, err := a.Receive(Buffer())
+	must.NoError(t, err)
+	must.Eq(t, want, got)
+}
