--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -433,7 +433,16 @@
 		_, err := io.WriteString(u.body, half)
 		must.NoError(t, err)
 	}
-	f.await(10*time.Second, "both uploads reached the backend server", func() bool { return f.backends[2].Stats().InFlight == 2 })
+	f.await(10*time.Second, "both uploads reached the backend server", func() bool {
+		for i, u := range uploads {
+			select {
+			case r := <-u.result:
+				t.Fatalf("upload %d ended before its second half: %+v", i, r)
+			default:
+			}
+		}
+		return f.backends[2].Stats().InFlight == 2
+	})
 	stopped := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
