Decide anew each time which nodes look out for the configuration

The store had dropped its history, and the two nodes that ask at short intervals were cut off. The next ones were inside a watch of 20 s when they became the first alive. Change: looking out is a duty beside the watch, which asks each 700 ms whether this node is a lookout. TestLookoutsAreReplaced fails without it. Ruled out: short watches on all nodes, 17 calls a second instead of 3.

--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -206,8 +206,9 @@
 	}
 	n.inbound.Start()
 	n.outbound.Start()
-	config := &watch.Duty{Kind: platform.ConfigKind, Store: n.store, Handler: configObjects{n}, Log: n.log, Wait: n.configWait}
+	config := &watch.Duty{Kind: platform.ConfigKind, Store: n.store, Handler: configObjects{n}, Log: n.log}
 	n.run(config.Run)
+	n.run(n.lookOut)
 	n.run(n.followObjects)
 	n.run(n.watchSettings)
 	return nil
@@ -231,26 +232,53 @@
 		case <-time.After(announceRetry):
 		}
 	}
-	objects := &watch.Duty{Kind: objectKind, Store: n.store, Handler: ownObjects{n}, Log: n.log, Wait: func() time.Duration { return watch.Long }}
+	objects := &watch.Duty{Kind: objectKind, Store: n.store, Handler: ownObjects{n}, Log: n.log}
 	objects.Run(ctx)
 }
 
-// lookouts is the number of nodes that ask for the configuration at short
-// intervals. The second one covers the first while that is lost.
-const lookouts = 2
+const (
+	// lookouts is the number of nodes that ask for the configuration beside
+	// their watch, which hears nothing for seconds while the store drops its
+	// history. The second one covers the first while that is lost.
+	lookouts = 2
+	// lookEvery is the interval of a lookout. A change must be in force after
+	// 2 s, and beacons take it to the other nodes within 700 ms.
+	lookEvery = 700 * time.Millisecond
+)
+
+// lookOut asks for the configuration while this node is a lookout. Whether it
+// is depends on which nodes live, and is decided anew each time.
+func (n *Node) lookOut(ctx context.Context) {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if !n.isLookout() {
+			continue
+		}
+		o, err := n.store.Get(ctx, platform.ConfigKind, platform.ConfigName)
+		if err != nil {
+			n.log.WithError(err).Debug("configuration not read")
+			continue
+		}
+		if old := n.config.Load(); old == nil || o.Revision > old.Revision {
+			n.offerConfig(o, "lookout")
+		}
+	}
+}
 
-// configWait returns how long the next watch of the configuration waits.
-func (n *Node) configWait() time.Duration {
+func (n *Node) isLookout() bool {
 	before := 0
 	for id, p := range n.nodes.Snapshot().Nodes {
 		if p.Alive && !p.Stopping && id < n.self.Node {
 			before++
 		}
 	}
-	if before < lookouts {
-		return watch.Short
-	}
-	return watch.Long
+	return before < lookouts
 }
 
 // follow hands a configuration to the duty that starts key duties.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -244,6 +244,31 @@
 	})
 }
 
+// Guards against a configuration that stays out of force while watches hear
+// nothing and the nodes that look out for it are lost: on scale-2 of dnts-lidar
+// (seed 1069875103889) the next nodes were inside a watch of 20 s.
+func TestLookoutsAreReplaced(t *testing.T) {
+	r := start(t, "prices", "prices", "reports", "reports")
+	r.store.SetDeaf(true)
+	var all sync.WaitGroup
+	for _, n := range r.nodes[:2] {
+		all.Go(n.Stop)
+	}
+	all.Wait()
+	time.Sleep(2 * time.Second) // until the others count them as lost
+	r.store.Put("config", "main", []byte(fmt.Sprintf(config, 2, `,["new","h.example","/new/","idempotent","2s","1s",2,"reports",2]`)))
+	r.eventually("configuration not in force", 2*time.Second, func() bool {
+		for _, i := range []int{2, 3} {
+			resp, _, err := r.send(i, "GET", "/new/1", "c", -1, "")
+			if err != nil || resp.StatusCode != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	r.nodes = r.nodes[2:]
+}
+
 // Guards against a lost answer of the store that stops the assignment.
 func TestLostAnswers(t *testing.T) {
 	r := start(t, "prices", "prices", "prices", "reports")
--- a/sidecar/watch/watch.go
+++ b/sidecar/watch/watch.go
@@ -14,13 +14,9 @@
 )
 
 const (
-	// Long is how long one call usually waits at the store. Calls are priced,
-	// and a connection that falls silent is noticed by its own probes.
-	Long = 20 * time.Second
-	// Short is the wait of the nodes that look out for changes of which a
-	// waiting watch does not hear. A change must be in force after 2 s, and
-	// reaches the other nodes within 700 ms of these.
-	Short = 700 * time.Millisecond
+	// waitFor is how long one call waits at the store. Calls are priced, and a
+	// connection that falls silent is noticed by its own probes.
+	waitFor = 20 * time.Second
 	// pause separates calls, so that a burst of changes costs one call.
 	pause = 60 * time.Millisecond
 	// retryMin and retryMax spread the calls of the nodes when the store
@@ -49,8 +45,6 @@
 	Store   Store
 	Handler Handler
 	Log     log.Interface
-	// Wait returns how long the next call waits.
-	Wait func() time.Duration
 }
 
 // Run follows the kind until ctx ends.
@@ -93,7 +87,7 @@
 		}
 		return l.Revision, nil
 	}
-	c, err := d.Store.Watch(ctx, d.Kind, revision, d.Wait())
+	c, err := d.Store.Watch(ctx, d.Kind, revision, waitFor)
 	if platform.FaultOf(err) == platform.FaultHistoryGone {
 		d.Log.WithFields(log.Fields{"kind": d.Kind, "revision": revision}).Info("history dropped, listing anew")
 		return 0, nil
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -39,6 +39,7 @@
 	oldest   uint64
 	changed  chan struct{}
 	down     bool
+	deaf     bool
 	lose     int
 	calls    int
 
@@ -75,6 +76,15 @@
 	s.wake()
 }
 
+// SetDeaf keeps waiting watches from hearing of changes, as the platform's store
+// does for a while before it drops its history.
+func (s *Store) SetDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+	s.wake()
+}
+
 // LoseAnswers makes the store do the next n writes without answering them.
 func (s *Store) LoseAnswers(n int) {
 	s.mu.Lock()
@@ -236,7 +246,7 @@
 		changed, revision, gone, down := s.changed, s.revision, from < s.oldest, s.down
 		events := make([]event, 0)
 		for _, e := range s.history {
-			if e.kind == kind && e.Object.Metadata.Revision > from {
+			if !s.deaf && e.kind == kind && e.Object.Metadata.Revision > from {
 				events = append(events, e)
 			}
 		}
