Let only nodes that reach the store look out for configurations

The two lookouts were cut off from the store and not from the other nodes, so that they counted as alive; what was ruled out there, a watch of 20 s in the next nodes, was a fault of its own. Change: a node that does not reach the store says so in its entry and asks on; the next ones look out. TestLookoutsReachTheStore fails without it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,8 @@
 	Slots    int    `json:"slots"`
 	// Stopping is set while the node's own process is about to end.
 	Stopping bool `json:"stopping,omitempty"`
+	// NoStore is set while the node does not reach the platform's store.
+	NoStore bool `json:"no_store,omitempty"`
 }
 
 // newer reports whether e replaces o.
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -247,34 +247,39 @@
 )
 
 // lookOut asks for the configuration while this node is a lookout. Whether it
-// is depends on which nodes live, and is decided anew each time.
+// is depends on which nodes live and reach the store, and is decided anew each
+// time. A node that does not reach the store asks until it does.
 func (n *Node) lookOut(ctx context.Context) {
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
+	cutOff := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if !n.isLookout() {
+		if !cutOff && !n.isLookout() {
 			continue
 		}
 		o, err := n.store.Get(ctx, platform.ConfigKind, platform.ConfigName)
-		if err != nil {
-			n.log.WithError(err).Debug("configuration not read")
-			continue
+		if lost := err != nil && platform.FaultOf(err) != platform.FaultNotFound; lost != cutOff {
+			cutOff = lost
+			n.log.WithFields(log.Fields{"cut_off": lost, "error": err}).Info("lookout for configurations")
+			n.nodes.Change(func(e *fleet.Entry) { e.NoStore = lost })
 		}
-		if old := n.config.Load(); old == nil || o.Revision > old.Revision {
+		if old := n.config.Load(); err == nil && (old == nil || o.Revision > old.Revision) {
 			n.offerConfig(o, "lookout")
 		}
 	}
 }
 
+// isLookout reports whether this node is one of the first that live and reach
+// the store.
 func (n *Node) isLookout() bool {
 	before := 0
 	for id, p := range n.nodes.Snapshot().Nodes {
-		if p.Alive && !p.Stopping && id < n.self.Node {
+		if p.Alive && !p.Stopping && !p.NoStore && id < n.self.Node {
 			before++
 		}
 	}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -57,6 +57,11 @@
 }
 
 func start(t *testing.T, services ...core.Service) *rig {
+	return startWith(t, func(int, *platform.Settings) {}, services...)
+}
+
+// startWith starts a fleet whose settings were changed by adjust.
+func startWith(t *testing.T, adjust func(int, *platform.Settings), services ...core.Service) *rig {
 	store, err := objects.New()
 	must.NoError(t, err)
 	r := &rig{t: t, store: store, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}}
@@ -73,6 +78,7 @@
 				RetryRatio: 0.2, MinRetries: 60, RetryWindow: 10 * time.Second,
 			},
 		}
+		adjust(i, &set)
 		r.sets = append(r.sets, set)
 		r.nodes = append(r.nodes, r.node(set))
 		r.servers = append(r.servers, r.server(i, fmt.Sprintf("i-%d", i)))
@@ -269,6 +275,72 @@
 	r.nodes = r.nodes[2:]
 }
 
+// forward passes connections on to an address until it is cut.
+func forward(t *testing.T, to string) (address string, cut func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	var mu sync.Mutex
+	conns := []net.Conn{}
+	go func() {
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			mu.Lock()
+			conns = append(conns, in, out)
+			mu.Unlock()
+			go func() { _, _ = io.Copy(out, in) }()
+			go func() { _, _ = io.Copy(in, out) }()
+		}
+	}()
+	cut = func() {
+		_ = ln.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	t.Cleanup(cut)
+	return ln.Addr().String(), cut
+}
+
+// Guards against nodes that look out for configurations without reaching the
+// store while watches of the others hear nothing: scale-2 of dnts-lidar, seed
+// 1069875103889, had no new configuration in force for 6 s.
+func TestLookoutsReachTheStore(t *testing.T) {
+	var cut func()
+	r := startWith(t, func(i int, set *platform.Settings) {
+		if i == 0 {
+			set.Store, cut = forward(t, set.Store)
+		} else if i == 1 {
+			var cutOne func()
+			cutFirst := cut
+			set.Store, cutOne = forward(t, set.Store)
+			cut = func() { cutFirst(); cutOne() }
+		}
+	}, "prices", "prices", "reports", "reports")
+	r.store.SetDeaf(true)
+	cut()
+	time.Sleep(2500 * time.Millisecond) // until the first two have noticed
+	r.store.Put("config", "main", []byte(fmt.Sprintf(config, 2, `,["new","h.example","/new/","idempotent","2s","1s",2,"reports",2]`)))
+	r.eventually("configuration not in force", 2*time.Second, func() bool {
+		for i := range r.nodes {
+			resp, _, err := r.send(i, "GET", "/new/1", "c", -1, "")
+			if err != nil || resp.StatusCode != 200 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Guards against a lost answer of the store that stops the assignment.
 func TestLostAnswers(t *testing.T) {
 	r := start(t, "prices", "prices", "prices", "reports")
