Drop requests whose caller left before they were read

A request waited 0.6 s in the queue of new connections of a node that was starting; its sender closed the connection meanwhile, and the node passed it on before it looked. Change: the frontend looks for the end of the connection before it passes a request on. Ruled out: a late deadline, since the first node had given up.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -39,6 +39,26 @@
 	return err
 }
 
+// callerLeft reports whether the caller closed the connection before its request
+// was read, as happens to one that waited in the queue of new connections.
+func (c *conn) callerLeft() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true // already closed
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = n == 0 && rerr == nil
+	})
+	return err != nil || left
+}
+
 // reset closes the connection so that the caller sees a broken exchange even
 // where a clean close would end the message.
 func (c *conn) reset() {
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -60,6 +60,10 @@
 func (x *exchange) serve(ctx context.Context) {
 	ctx, cancel := withDeadline(ctx, x.req.Deadline)
 	defer cancel()
+	if x.conn.callerLeft() {
+		x.dropLate(nil)
+		return
+	}
 	x.watch = newWatch(x.rc.GetConn(), cancel)
 	x.attachBody()
 	resp, err := x.f.cfg.Handler.Serve(ctx, x.req)
