Reuse the connection that was used last, and learn how long one may rest

Cause: connections to a backend server took turns, so that each rested for hundreds of milliseconds; a server that forgets idle connections resets what is sent next, and a request that may not run twice is lost each time. Ruled out: a fixed short time, which costs a connection a request on sound sites.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"marjoramshore.example/core"
@@ -104,6 +106,9 @@
 	hresp, err := x.readHead()
 	x.c.headLeft = -1
 	if err != nil {
+		if x.c.rested > 0 && errors.Is(err, syscall.ECONNRESET) {
+			x.g.pool.forgotten(x.c)
+		}
 		return nil, x.abandon(err)
 	}
 	if x.ctx.Err() != nil {
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -22,6 +22,8 @@
 	begun   atomic.Bool
 	written atomic.Int64
 	idleAt  time.Time
+	// rested is how long the connection was unused before the present exchange.
+	rested time.Duration
 	// headLeft is how much of a response head may still be read, or -1 while
 	// no head is expected.
 	headLeft int64
@@ -72,13 +74,13 @@
 	return err == nil && open
 }
 
-// connPool holds idle connections in a bounded channel and counts those in use
-// with a second one.
+// connPool holds idle connections and counts those in use with a bounded
+// channel.
 type connPool struct {
 	cfg    Config
 	dialer net.Dialer
 	slots  chan struct{}
-	idle   chan *conn
+	idle   *idleStack
 	done   chan struct{} // closed when shutdown begins
 	empty  chan struct{} // closed when shutdown has seen every exchange end
 	closed atomic.Bool
@@ -88,7 +90,7 @@
 func newConnPool(cfg Config, counts *counters) *connPool {
 	return &connPool{
 		cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout, Control: userTimeout(cfg.UserTimeout)},
-		slots: make(chan struct{}, cfg.MaxConns), idle: make(chan *conn, cfg.MaxConns),
+		slots: make(chan struct{}, cfg.MaxConns), idle: newIdleStack(cfg.IdleTimeout),
 		done: make(chan struct{}), empty: make(chan struct{}), counts: counts,
 	}
 }
@@ -148,20 +150,23 @@
 
 func (p *connPool) reuse() *conn {
 	for {
-		select {
-		case c := <-p.idle:
-			if time.Since(c.idleAt) < p.cfg.IdleTimeout && c.usable() {
-				c.written.Store(0)
-				c.begun.Store(false)
-				return c
-			}
-			_ = c.Close()
-		default:
+		c := p.idle.pop(time.Now())
+		if c == nil {
 			return nil
 		}
+		if c.usable() {
+			c.written.Store(0)
+			c.begun.Store(false)
+			return c
+		}
+		_ = c.Close()
 	}
 }
 
+// forgotten records that the server had dropped c while it was unused, which
+// showed only in the reset of what was sent next.
+func (p *connPool) forgotten(c *conn) { p.idle.limit.lost(time.Now(), c.rested) }
+
 // put ends the use of c. A connection that is not clean is closed.
 func (p *connPool) put(c *conn, clean bool) {
 	defer p.release()
@@ -169,12 +174,7 @@
 		_ = c.Close()
 		return
 	}
-	c.idleAt = time.Now()
-	select {
-	case p.idle <- c:
-	default:
-		_ = c.Close()
-	}
+	p.idle.push(c, time.Now())
 }
 
 func (p *connPool) shutdown(ctx context.Context) error {
@@ -195,21 +195,10 @@
 	for range cap(p.slots) {
 		p.slots <- struct{}{}
 	}
-	p.closeIdle()
+	p.idle.closeIdle()
 	close(p.empty)
 }
 
-func (p *connPool) closeIdle() {
-	for {
-		select {
-		case c := <-p.idle:
-			_ = c.Close()
-		default:
-			return
-		}
-	}
-}
-
 // userTimeout returns a control function for dialers that sets
 // TCP_USER_TIMEOUT, or nil for a limit of zero.
 func userTimeout(limit time.Duration) func(string, string, syscall.RawConn) error {
