Send less to backend servers that fail, and accept restarts after a clock step

Cause: a backend server that fails requests at once looks idle and gets more of them; a node that was restarted while the time of day was set back was ignored until its start time passed that of its former process. Change: the node beside a backend server counts the part of the latest requests that it failed, reports it with its load, and dispatch.Choose adds up to 2 s of cost for it. An incarnation that was not heard for a second is replaced by any other one. Nodes can announce another host than the one they listen on (--advertise), and a hangup during the start no longer ends the process. Ruled out: health probes, which take slots and may lie.

--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -24,17 +26,20 @@
 )
 
 func sidecarCommand() command {
-	var metricsAddr, level string
-	level = "info"
+	var metricsAddr, advertise string
+	level := "info"
 	sub := flaggy.NewSubcommand("sidecar")
 	sub.Description = "Run the process beside a backend server on the users' platform, which names the settings file in " +
 		platform.SettingsVariable + ". SIGTERM stops it gracefully."
 	sub.String(&metricsAddr, "m", "metrics", "host:port that serves /metrics; a missing host is the node's own.")
+	sub.String(&advertise, "a", "advertise", "Host by which other nodes reach this one, when it is not the node's own.")
 	sub.String(&level, "l", "level", "Least level of log lines: debug, info, warn or error.")
-	return command{sub, func(ctx context.Context, o output) int { return runSidecar(ctx, o, metricsAddr, level) }}
+	return command{sub, func(ctx context.Context, o output) int { return runSidecar(ctx, o, metricsAddr, advertise, level) }}
 }
 
-func runSidecar(ctx context.Context, o output, metricsAddr, level string) int {
+func runSidecar(ctx context.Context, o output, metricsAddr, advertise, level string) int {
+	// Until the settings are watched, a hangup would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	debug.SetGCPercent(sidecarHeap)
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.LoadSettings(path)
@@ -55,7 +60,7 @@
 		stopLog()
 		<-logged
 	}()
-	n, err := sidecar.New(sidecar.Config{Settings: settings, Path: path, Log: logs.Logger(level), MetricsAddr: metricsAddr})
+	n, err := sidecar.New(sidecar.Config{Settings: settings, Path: path, Log: logs.Logger(level), MetricsAddr: metricsAddr, Advertise: advertise})
 	if err != nil {
 		return o.fail(exitFail, err)
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -18,6 +18,10 @@
 	// maxCrossing bounds the cost, so that a full backend server nearby does
 	// not keep uploads while others are idle.
 	maxCrossing = 80 * time.Millisecond
+	// faultCost is added for a backend server that fails every request, and a
+	// part of it for one that fails some: about what a failed request costs its
+	// caller, who comes back after a second.
+	faultCost = 2 * time.Second
 	// unreachable is added for a peer that could not be reached lately.
 	unreachable = time.Second
 )
@@ -74,6 +78,7 @@
 	if p.DataCentre != w.DataCentre {
 		c += min(crossing+time.Duration(max(0, w.BodyBytes)/1024)*crossingPerKB, maxCrossing)
 	}
+	c += time.Duration(float64(faultCost) * p.Load.Faults())
 	if p.Load.Avoid(now) {
 		c += unreachable
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -102,10 +102,44 @@
 	s := &fleet.Snapshot{Services: map[core.Service][]*fleet.Peer{"s": {far, near}}}
 	w := Wish{Service: "s", DataCentre: "a"}
 	must.Eq(t, near, Choose(start, s, w, 0))
-	near.Load.Set(10, 20, 50*time.Millisecond)
+	near.Load.Set(fleet.Usage{Running: 10, Waiting: 20, Service: 50 * time.Millisecond})
 	must.Eq(t, far, Choose(start, s, w, 0))
 	w.Tried = []core.NodeID{"far"}
 	must.Eq(t, near, Choose(start, s, w, 0))
 	near.Alive = false
 	must.Nil(t, Choose(start, s, w, 0))
 }
+
+// Guards against a backend server that fails requests at once and so looks
+// idle: it would get more requests than the sound ones.
+func TestChooseAvoidsFaults(t *testing.T) {
+	grey, sound := peer("grey", "a"), peer("sound", "b")
+	s := &fleet.Snapshot{Services: map[core.Service][]*fleet.Peer{"s": {grey, sound}}}
+	w := Wish{Service: "s", DataCentre: "a"}
+	grey.Load.Set(fleet.Usage{Service: time.Millisecond, Faults: 0.4})
+	sound.Load.Set(fleet.Usage{Running: 9, Waiting: 5, Service: 100 * time.Millisecond})
+	must.Eq(t, sound, Choose(start, s, w, 0))
+	grey.Load.Set(fleet.Usage{Service: time.Millisecond, Faults: 0.01})
+	must.Eq(t, grey, Choose(start, s, w, 0), must.Sprint("single failures are usual"))
+}
+
+// Guards against a share of faults that stays once requests succeed again or no
+// longer come, and against one that single failures raise.
+func TestFaultsFollowTheLatest(t *testing.T) {
+	var f Faults
+	now := start
+	for i := range 40 {
+		f.Add(now, i%10 < 4)
+		now = now.Add(50 * time.Millisecond)
+	}
+	must.Between(t, 0.3, f.Share(now), 0.5)
+	must.Less(t, 0.05, f.Share(now.Add(20*time.Second)))
+	for range 200 {
+		f.Add(now, false)
+		now = now.Add(50 * time.Millisecond)
+	}
+	must.Less(t, 0.02, f.Share(now))
+	var one Faults
+	one.Add(start, true)
+	must.Less(t, 0.2, one.Share(start))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"marjoramshore.example/clock"
@@ -28,7 +27,8 @@
 	Node        core.NodeID      `json:"node"`
 	Incarnation core.Incarnation `json:"incarnation,string"`
 	// Started is the wall time at which the process started, in milliseconds.
-	// It orders the incarnations of a node.
+	// It orders the incarnations of a node as long as both are heard, since the
+	// time of day may jump.
 	Started    int64           `json:"started"`
 	DataCentre core.DataCentre `json:"dc"`
 	// Inbound is where requests for the backend server are sent; Peer is the
@@ -65,6 +65,8 @@
 	Waiting int `json:"w"`
 	// ServiceMicros is the mean service time.
 	ServiceMicros int64 `json:"s"`
+	// Faults is that of Usage.
+	Faults float64 `json:"f,omitempty"`
 	// Config is the version of the configuration in force.
 	Config uint64 `json:"c"`
 	// Tables are the versions of the key tables that the node has.
@@ -74,52 +76,6 @@
 	Unconfirmed map[core.Service]int64 `json:"u,omitempty"`
 }
 
-// Load is a peer's load, readable at any time.
-type Load struct {
-	running, waiting, serviceMicros atomic.Int64
-	// Sent counts this node's own requests in flight to the peer.
-	Sent atomic.Int64
-	// failedAt is the last failure to reach the peer.
-	failedAt atomic.Int64
-}
-
-// Set records a load that the peer reported.
-func (l *Load) Set(running, waiting int, service time.Duration) {
-	l.running.Store(int64(running))
-	l.waiting.Store(int64(waiting))
-	if service > 0 {
-		l.serviceMicros.Store(service.Microseconds())
-	}
-}
-
-// Running returns the reported running and waiting requests.
-func (l *Load) Running() (running, waiting int64) { return l.running.Load(), l.waiting.Load() }
-
-// Service returns the reported mean service time, or a default before any.
-func (l *Load) Service() time.Duration {
-	if v := l.serviceMicros.Load(); v > 0 {
-		return time.Duration(v) * time.Microsecond
-	}
-	return defaultService
-}
-
-// defaultService stands for the service time of a backend server that has not
-// served a request yet.
-const defaultService = 50 * time.Millisecond
-
-// Fail records that the peer could not be reached.
-func (l *Load) Fail(now clock.Instant) { l.failedAt.Store(int64(now)) }
-
-// Avoid reports whether the peer failed within the last while.
-func (l *Load) Avoid(now clock.Instant) bool {
-	at := clock.Instant(l.failedAt.Load())
-	return at != 0 && now.Sub(at) < avoidFor
-}
-
-// avoidFor is how long a peer that could not be reached is used last; a process
-// that ended is started again within about a second.
-const avoidFor = 400 * time.Millisecond
-
 // Peer is one node as of one snapshot.
 type Peer struct {
 	Entry
@@ -141,6 +97,9 @@
 	// lostAfter is the time without beacons after which a node counts as lost.
 	// Beacons come every 500 ms, and single datagrams are lost.
 	lostAfter = 1600 * time.Millisecond
+	// outlived is the time without beacons of an incarnation after which any
+	// other one replaces it. Datagrams of the former one are milliseconds old.
+	outlived = time.Second
 	// forgetAfter is the time without beacons after which a node no longer
 	// counts as part of the fleet.
 	forgetAfter = 15 * time.Second
@@ -183,12 +142,17 @@
 	if !e.newer(n.entry) {
 		return false
 	}
+	v.replace(now, n, e)
+	return true
+}
+
+// replace takes over an entry of a known node.
+func (v *View) replace(now clock.Instant, n *node, e Entry) {
 	if e.Incarnation != n.entry.Incarnation {
 		n.known, n.heard, n.load = now, 0, &Load{}
 	}
 	n.entry, n.alive = e, true
 	v.dirty = true
-	return true
 }
 
 // Remove forgets a node whose entry was deleted, unless a beacon of the same
@@ -206,6 +170,10 @@
 func (v *View) Hear(now clock.Instant, b Beacon) {
 	v.Apply(now, b.Entry)
 	n := v.nodes[b.Entry.Node]
+	if n != nil && n.entry.Incarnation != b.Entry.Incarnation && now.Sub(max(n.heard, n.known)) >= outlived {
+		// The time of day went back between the two starts.
+		v.replace(now, n, b.Entry)
+	}
 	if n == nil || n.entry.Incarnation != b.Entry.Incarnation {
 		return // from a former incarnation
 	}
@@ -214,7 +182,7 @@
 	}
 	n.heard = now
 	n.config, n.tables, n.unconf = b.Config, b.Tables, b.Unconfirmed
-	n.load.Set(b.Running, b.Waiting, time.Duration(b.ServiceMicros)*time.Microsecond)
+	n.load.Set(Usage{b.Running, b.Waiting, time.Duration(b.ServiceMicros) * time.Microsecond, b.Faults})
 }
 
 // Tick marks the nodes whose beacons are missing.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -28,6 +28,20 @@
 	must.Eq(t, core.Incarnation(9), s.Nodes["a"].Incarnation)
 }
 
+// Guards against a node that is ignored for ever because the time of day went
+// back while it was restarted.
+func TestRestartAfterClockStep(t *testing.T) {
+	v := NewView("me")
+	v.Hear(start, Beacon{Entry: entry("a", 1, 5000, 9)})
+	v.Hear(start.Add(outlived/2), Beacon{Entry: entry("a", 2, 3000, 1)})
+	n, _ := v.Entry("a")
+	must.Eq(t, core.Incarnation(1), n.Incarnation)
+	v.Hear(start.Add(outlived), Beacon{Entry: entry("a", 2, 3000, 2)})
+	n, _ = v.Entry("a")
+	must.Eq(t, core.Incarnation(2), n.Incarnation)
+	must.Eq(t, 0, v.nodes["a"].known.Sub(start.Add(outlived)))
+}
+
 // Guards against requests to a node whose beacons are missing, and against one
 // that is not used again after it is back.
 func TestLiveness(t *testing.T) {
--- /dev/null
+++ b/fleet/load.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"marjoramshore.example/clock"
+)
+
+// Usage is what a node reports of the backend server beside it.
+type Usage struct {
+	// Running and Waiting count the requests at the backend server and in the
+	// queue before it.
+	Running, Waiting int
+	// Service is the mean service time, or 0 before any.
+	Service time.Duration
+	// Faults is the part of the latest requests that the backend server failed.
+	Faults float64
+}
+
+// Load is a peer's load, readable at any time.
+type Load struct {
+	running, waiting, serviceMicros atomic.Int64
+	// faults holds the bits of a float64.
+	faults atomic.Uint64
+	// Sent counts this node's own requests in flight to the peer.
+	Sent atomic.Int64
+	// failedAt is the last failure to reach the peer.
+	failedAt atomic.Int64
+}
+
+// Set records what the peer reported.
+func (l *Load) Set(u Usage) {
+	l.running.Store(int64(u.Running))
+	l.waiting.Store(int64(u.Waiting))
+	l.faults.Store(math.Float64bits(u.Faults))
+	if u.Service > 0 {
+		l.serviceMicros.Store(u.Service.Microseconds())
+	}
+}
+
+// Running returns the reported running and waiting requests.
+func (l *Load) Running() (running, waiting int64) { return l.running.Load(), l.waiting.Load() }
+
+// Faults returns the reported part of requests that the backend server failed.
+func (l *Load) Faults() float64 { return math.Float64frombits(l.faults.Load()) }
+
+// Service returns the reported mean service time, or a default before any.
+func (l *Load) Service() time.Duration {
+	if v := l.serviceMicros.Load(); v > 0 {
+		return time.Duration(v) * time.Microsecond
+	}
+	return defaultService
+}
+
+// defaultService stands for the service time of a backend server that has not
+// served a request yet.
+const defaultService = 50 * time.Millisecond
+
+// Fail records that the peer could not be reached.
+func (l *Load) Fail(now clock.Instant) { l.failedAt.Store(int64(now)) }
+
+// Avoid reports whether the peer failed within the last while.
+func (l *Load) Avoid(now clock.Instant) bool {
+	at := clock.Instant(l.failedAt.Load())
+	return at != 0 && now.Sub(at) < avoidFor
+}
+
+// avoidFor is how long a peer that could not be reached is used last; a process
+// that ended is started again within about a second.
+const avoidFor = 400 * time.Millisecond
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marjoramshore.example/core"
+	"marjoramshore.example/fleet"
 	"marjoramshore.example/frontend"
 	"marjoramshore.example/gate"
 )
@@ -37,8 +38,8 @@
 
 // Loads tells the load that answers to other nodes report.
 type Loads interface {
-	// Load returns running and waiting requests and the mean service time.
-	Load() (running, waiting int, service time.Duration)
+	// Load returns the present usage of the backend server.
+	Load() fleet.Usage
 }
 
 // Inbound is the frontend's dialect for requests of other nodes.
@@ -131,9 +132,13 @@
 	return append(out, core.Field{Name: hopLoad, Value: i.load()})
 }
 
+// perMille scales the faults in a field.
+const perMille = 1000
+
 func (i Inbound) load() string {
-	running, waiting, service := i.Loads.Load()
-	return strconv.Itoa(running) + "," + strconv.Itoa(waiting) + "," + strconv.FormatInt(service.Microseconds(), 10)
+	u := i.Loads.Load()
+	return strconv.Itoa(u.Running) + "," + strconv.Itoa(u.Waiting) + "," +
+		strconv.FormatInt(u.Service.Microseconds(), 10) + "," + strconv.Itoa(int(perMille*u.Faults))
 }
 
 // outbound is the gate's dialect for requests to another node.
@@ -180,9 +185,9 @@
 
 // unpack splits an answer of another node into the response of the backend
 // server or the failure, and the load that it reports.
-func unpack(resp *core.Response) (*core.Error, *reported) {
+func unpack(resp *core.Response) (*core.Error, *fleet.Usage) {
 	var failure *core.Error
-	var load *reported
+	var load *fleet.Usage
 	for _, f := range resp.Header {
 		switch f.Name {
 		case hopLoad:
@@ -218,18 +223,13 @@
 	return e
 }
 
-// reported is the load in an answer.
-type reported struct {
-	running, waiting int
-	service          time.Duration
-}
-
-func parseLoad(text string) *reported {
+// parseLoad reads the usage in an answer, or returns nil when it is malformed.
+func parseLoad(text string) *fleet.Usage {
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if len(parts) != 4 {
 		return nil
 	}
-	var n [3]int
+	var n [4]int
 	for i, p := range parts {
 		v, err := strconv.Atoi(p)
 		if err != nil {
@@ -237,5 +237,7 @@
 		}
 		n[i] = v
 	}
-	return &reported{n[0], n[1], time.Duration(n[2]) * time.Microsecond}
+	return &fleet.Usage{
+		Running: n[0], Waiting: n[1], Service: time.Duration(n[2]) * time.Microsecond, Faults: float64(n[3]) / perMille,
+	}
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -22,7 +22,9 @@
 type loads struct{}
 
 // Load implements Loads.
-func (loads) Load() (int, int, time.Duration) { return 7, 3, 40 * time.Millisecond }
+func (loads) Load() fleet.Usage {
+	return fleet.Usage{Running: 7, Waiting: 3, Service: 40 * time.Millisecond, Faults: 0.25}
+}
 
 // hop serves a handler as another node and returns a link to it.
 func hop(t *testing.T, h core.HandlerFunc) *Link {
@@ -67,6 +69,7 @@
 	must.SliceContains(t, got.Header, core.Field{Name: "X-Other", Value: "kept"})
 	must.Between(t, -100*time.Millisecond, got.Deadline.Sub(want.Deadline), 100*time.Millisecond)
 	must.Between(t, -100*time.Millisecond, got.Target.Sub(want.Target), 100*time.Millisecond)
+	must.Eq(t, 0.25, load.Faults())
 	running, waiting := load.Running()
 	must.Eq(t, []int64{7, 3}, []int64{running, waiting})
 	must.Eq(t, 0, load.Sent.Load())
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -15,6 +15,7 @@
 
 	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
+	"marjoramshore.example/fleet"
 	"marjoramshore.example/gate"
 	"marjoramshore.example/platform"
 	"marjoramshore.example/ring"
@@ -76,7 +77,7 @@
 	gate    *gate.Gate
 	offered *ring.Ring[*offer]
 	events  *ring.Ring[event]
-	load    atomic.Pointer[load]
+	load    atomic.Pointer[fleet.Usage]
 	// closing is when requests may no longer be sent to the present run, or 0.
 	closing atomic.Int64
 	sent    atomic.Int64
@@ -84,18 +85,13 @@
 	demand atomic.Uint64
 }
 
-type load struct {
-	running, waiting int
-	service          time.Duration
-}
-
 // New returns a server; Run runs its duty.
 func New(cfg Config) (*Server, error) {
 	s := &Server{
 		cfg: cfg, offered: ring.New[*offer]("backend_offers", offers, ring.Refuse),
 		events: ring.New[event]("backend_events", events, ring.Wait),
 	}
-	s.load.Store(&load{})
+	s.load.Store(&fleet.Usage{})
 	g, err := gate.New(gate.Config{
 		BackendAddr: cfg.Address, Dialect: platform.Backend{}, Permit: s.permit, UserTimeout: silentAfter, BufferSize: bufferSize,
 		MaxConns: maxConns, DialTimeout: dialTimeout, IdleTimeout: idleTimeout,
@@ -108,10 +104,7 @@
 }
 
 // Load implements peers.Loads.
-func (s *Server) Load() (running, waiting int, service time.Duration) {
-	l := s.load.Load()
-	return l.running, l.waiting, l.service
-}
+func (s *Server) Load() fleet.Usage { return *s.load.Load() }
 
 // InFlight is the number of requests that wait or run here.
 func (s *Server) InFlight() int64 { return s.sent.Load() }
@@ -151,7 +144,7 @@
 		return nil, err
 	}
 	resp, err := s.send(ctx, req)
-	s.done(o, err)
+	s.done(ctx, o, resp, err)
 	return resp, err
 }
 
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -11,6 +12,8 @@
 
 	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
+	"marjoramshore.example/dispatch"
+	"marjoramshore.example/fleet"
 	"marjoramshore.example/platform"
 	"marjoramshore.example/ring"
 	"marjoramshore.example/shards"
@@ -42,6 +45,8 @@
 type finished struct {
 	o   *offer
 	err *core.Error
+	// fault is set when the backend server failed the request.
+	fault bool
 }
 
 type canceled struct{ o *offer }
@@ -71,6 +76,7 @@
 	*Server
 	ctx      context.Context
 	queue    *slotqueue.Queue
+	faults   dispatch.Faults
 	run      Run
 	sequence int64
 	reported clock.Instant
@@ -136,8 +142,9 @@
 
 func (st *state) publish() {
 	q := st.queue.Stats()
-	if old := st.load.Load(); old.running != q.Running || old.waiting != q.Waiting || old.service != q.Service {
-		st.load.Store(&load{q.Running, q.Waiting, q.Service})
+	u := fleet.Usage{Running: q.Running, Waiting: q.Waiting, Service: q.Service, Faults: st.faults.Share(st.now())}
+	if *st.load.Load() != u {
+		st.load.Store(&u)
 	}
 }
 
@@ -176,14 +183,33 @@
 	}
 }
 
-func (s *Server) done(o *offer, err error) {
-	var e *core.Error
+func (s *Server) done(ctx context.Context, o *offer, resp *core.Response, err error) {
+	f := finished{o: o}
 	if err != nil {
-		e = core.AsError(err)
+		f.err = core.AsError(err)
 	}
-	s.free(finished{o, e})
+	// A caller that left says nothing about the backend server.
+	f.fault = ctx.Err() != context.Canceled && failed(resp, f.err)
+	s.free(f)
 }
 
+// failed reports whether the backend server failed a request.
+func failed(resp *core.Response, err *core.Error) bool {
+	if err == nil {
+		return resp.Status >= http.StatusInternalServerError
+	}
+	switch err.Code {
+	case core.CodeUnknown, core.CodeDeadline:
+		return true
+	}
+	return err.Code == core.CodeOverloaded && err.Arrived
+}
+
+// hung is how many times the mean service time a request without an answer ran
+// before its deadline counts against the backend server. One that started late
+// does not.
+const hung = 4
+
 func (st *state) offer(o *offer) {
 	st.arrivals++
 	d := st.queue.Offer(st.now(), &o.ticket)
@@ -211,6 +237,8 @@
 
 func (m finished) apply(st *state) {
 	st.start(st.queue.Done(st.now(), &m.o.ticket, m.err == nil))
+	late := m.err != nil && m.err.Code == core.CodeDeadline && m.o.ticket.Ran(st.now()) < hung*st.queue.Stats().Service
+	st.faults.Add(st.now(), m.fault && !late)
 	switch {
 	case m.err == nil:
 		st.refused = 0
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -34,6 +34,9 @@
 	Log  log.Interface
 	// MetricsAddr is the host:port that serves /metrics, or empty.
 	MetricsAddr string
+	// Advertise is the host by which other nodes reach this one, when it is not
+	// the one that the node listens on.
+	Advertise string
 }
 
 // newIncarnation draws the number of this run of the process.
@@ -45,11 +48,20 @@
 }
 
 // entry returns what this node says of itself at its start.
-func entry(s platform.Settings, inc core.Incarnation) fleet.Entry {
+func entry(cfg Config, inc core.Incarnation) (fleet.Entry, error) {
+	s := cfg.Settings
+	host, inbound, err := net.SplitHostPort(s.Inbound)
+	if err != nil {
+		return fleet.Entry{}, &Error{"inbound address", err}
+	}
+	ip := s.IP
+	if cfg.Advertise != "" {
+		host, ip = cfg.Advertise, cfg.Advertise
+	}
 	return fleet.Entry{
 		Node: s.Node, Incarnation: inc, Started: time.Now().UnixMilli(), DataCentre: s.DataCentre,
-		Inbound: s.Inbound, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PortLo)), Service: s.Service, Serial: 1,
-	}
+		Inbound: net.JoinHostPort(host, inbound), Peer: net.JoinHostPort(ip, strconv.Itoa(s.PortLo)), Service: s.Service, Serial: 1,
+	}, nil
 }
 
 // address returns the part of an entry that is kept in the store. The rest
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -92,9 +92,13 @@
 	if err != nil {
 		return nil, &Error{"worker pool", err}
 	}
+	self, err := entry(cfg, newIncarnation())
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		cfg: cfg, log: cfg.Log, clock: NewBoot(), self: entry(s, newIncarnation()), pool: pool,
+		cfg: cfg, log: cfg.Log, clock: NewBoot(), self: self, pool: pool,
 		store: platform.NewStore(s.Store), caller: peers.NewCaller(), follows: make(chan routes.Config, 1),
 		budget: dispatch.NewBudget(dispatch.BudgetConfig{
 			Ratio: s.Bounds.RetryRatio, Floor: s.Bounds.MinRetries, Window: s.Bounds.RetryWindow,
@@ -102,7 +106,7 @@
 		metrics: newMeters(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
 	}
 	n.keyMap.Store(&map[core.Service]*keys.Duty{})
-	if n.beacons, err = peers.ListenBeacons(n.self.Peer); err != nil {
+	if n.beacons, err = peers.ListenBeacons(net.JoinHostPort(s.IP, strconv.Itoa(s.PortLo))); err != nil {
 		return nil, err
 	}
 	n.nodes = nodes.New(nodes.Config{
@@ -372,8 +376,7 @@
 
 // own is what the node's beacons say beside its entry.
 func (n *Node) own() nodes.Own {
-	running, waiting, service := n.backend.Load()
-	o := nodes.Own{Running: running, Waiting: waiting, Service: service}
+	o := nodes.Own{Usage: n.backend.Load()}
 	if t := n.routes.Load(); t != nil {
 		o.Config = t.Version
 	}
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -36,11 +36,10 @@
 
 // Own is what this node says of itself beside its entry.
 type Own struct {
-	Running, Waiting int
-	Service          time.Duration
-	Config           uint64
-	Tables           map[core.Service]uint64
-	Unconfirmed      map[core.Service]int64
+	Usage       fleet.Usage
+	Config      uint64
+	Tables      map[core.Service]uint64
+	Unconfirmed map[core.Service]int64
 }
 
 // Config sets up a Duty.
@@ -202,8 +201,8 @@
 func (s *state) encoded() ([]byte, bool) {
 	o := s.cfg.Own()
 	data, err := peers.Encode(fleet.Beacon{
-		Entry: s.self, Running: o.Running, Waiting: o.Waiting, ServiceMicros: o.Service.Microseconds(),
-		Config: o.Config, Tables: o.Tables, Unconfirmed: o.Unconfirmed,
+		Entry: s.self, Running: o.Usage.Running, Waiting: o.Usage.Waiting, ServiceMicros: o.Usage.Service.Microseconds(),
+		Faults: o.Usage.Faults, Config: o.Config, Tables: o.Tables, Unconfirmed: o.Unconfirmed,
 	})
 	if err != nil {
 		s.cfg.Log.WithError(err).Error("beacon not encoded")
--- a/slotqueue/queue.go
+++ b/slotqueue/queue.go
@@ -237,3 +237,6 @@
 
 // Waited returns how long a ticket was in the queue before it started.
 func (t *Ticket) Waited() time.Duration { return t.started.Sub(t.arrived) }
+
+// Ran returns how long a started ticket has been running.
+func (t *Ticket) Ran(now clock.Instant) time.Duration { return now.Sub(t.started) }
