Add a soak that disturbs processes by a random plan

Processes of the real binary run on loopback beside stand-ins of the store and of backend servers. A plan drawn from a seed sends signals, cuts, delays and resets connections, and makes the store and backend servers misbehave; a ledger checks what callers and backend servers see.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -45,7 +45,7 @@
 	_ = p.SetHelpTemplate("{{if .Message}}marjoramshore: {{.Message}}\n{{else}}" + flaggy.DefaultHelpTemplate + "{{end}}")
 	commands := []command{
 		nodeCommand(), checkCommand(), demoCommand(), loadCommand(), capacityCommand(), versionCommand(), sidecarCommand(),
-		standinStoreCommand(), standinBackendCommand(),
+		standinStoreCommand(), standinBackendCommand(), soakCommand(),
 	}
 	commands = append(commands, operatorCommands()...)
 	for _, c := range commands {
--- /dev/null
+++ b/soak/errors.go
@@ -0,0 +1,23 @@
+package soak
+
+import "github.com/rotisserie/eris"
+
+// Error is a failure of the run itself, which says nothing about the product.
+type Error struct {
+	What  string
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "soak: " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+func fault(what string, cause error) error { return &Error{what, eris.Wrap(cause, what)} }
+
+// LimitError reports options that make no run.
+type LimitError struct{ What string }
+
+// Error implements error.
+func (e *LimitError) Error() string { return "soak: " + e.What }
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -27,8 +27,50 @@
 	Work time.Duration
 	// Every is the interval of status reports.
 	Every time.Duration
+	// Observer hears of what the server sees, or is nil.
+	Observer Observer
 }
 
+// Observer hears of what a server sees, in the order in which it happens. Its
+// methods return at once.
+type Observer interface {
+	// Began tells that a request began to run.
+	Began(instance string, r Run)
+	// Holds tells what the run may work on from now until an instant.
+	Holds(instance string, rows []Row, until time.Time)
+	// Left tells that the node acknowledged that the run is leaving.
+	Left(instance string)
+}
+
+// Run is a request as the server received it.
+type Run struct {
+	ID, Method, Target, Caller string
+	// Key is the key, or -1.
+	Key int
+	// AtOnce is the number of requests that run now, this one included.
+	AtOnce int64
+}
+
+// Fault is how a server misbehaves towards requests.
+type Fault int32
+
+// Faults.
+const (
+	Sound Fault = iota
+	// Hang runs requests and never answers.
+	Hang
+	// Drop runs requests and closes the connection instead of answering.
+	Drop
+	// Extra sends a second answer after each.
+	Extra
+	// Unsigned leaves the signature out.
+	Unsigned
+	// Short breaks answers off.
+	Short
+	// Failing answers 500.
+	Failing
+)
+
 // Row is a granted span of keys.
 type Row struct {
 	From, To int
@@ -54,8 +96,12 @@
 	seq     int
 	running atomic.Int64
 	peak    atomic.Int64
+	fault   atomic.Int32
 }
 
+// SetFault makes the server misbehave from now on, or ends that.
+func (s *Server) SetFault(f Fault) { s.fault.Store(int32(f)) }
+
 // Start serves on an address.
 func Start(address string, cfg Config) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
@@ -139,6 +185,12 @@
 	defer s.running.Add(-1)
 	for p := s.peak.Load(); n > p && !s.peak.CompareAndSwap(p, n); p = s.peak.Load() {
 	}
+	if o := s.cfg.Observer; o != nil {
+		if r.Header.Get("X-Marjoramshore-Shard-Key") == "" {
+			key = -1
+		}
+		o.Began(s.cfg.Instance, Run{id, r.Method, r.RequestURI, r.Header.Get("X-Marjoramshore-Caller-Service"), key, n})
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -148,8 +200,49 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Marjoramshore-Response-Signature", "signed-by-"+s.cfg.Instance)
-	fmt.Fprintf(w, "%s %s %d %s", r.Method, r.RequestURI, len(body), r.Header.Get("X-Marjoramshore-Caller-Service"))
+	s.answer(w, r, fmt.Sprintf("%s %s %d %s", r.Method, r.RequestURI, len(body), r.Header.Get("X-Marjoramshore-Caller-Service")))
+}
+
+// answer sends the answer, as the present fault has it.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, body string) {
+	f := Fault(s.fault.Load())
+	if f != Unsigned {
+		w.Header().Set("X-Marjoramshore-Response-Signature", "signed-by-"+s.cfg.Instance)
+	}
+	switch f {
+	case Hang:
+		<-r.Context().Done()
+		return
+	case Drop:
+		panic(http.ErrAbortHandler)
+	case Short:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+10))
+		// The handler returns too early, so the connection is closed.
+		_, _ = io.WriteString(w, body)
+		return
+	case Failing:
+		w.WriteHeader(http.StatusInternalServerError)
+	case Extra:
+		s.twice(w, body)
+		return
+	}
+	// A caller that left does not need the answer.
+	_, _ = io.WriteString(w, body)
+}
+
+// twice writes an answer and a second one that belongs to no request.
+func (s *Server) twice(w http.ResponseWriter, body string) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	for name, values := range w.Header() {
+		head += name + ": " + values[0] + "\r\n"
+	}
+	c, buf, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = buf.WriteString(head + "\r\n" + body + head + "\r\n" + body)
+	_ = buf.Flush()
 }
 
 // report sends status reports until the server ends.
@@ -213,6 +306,9 @@
 	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&grant) != nil {
 		return false
 	}
+	if o := s.cfg.Observer; o != nil && state == "draining" {
+		o.Left(s.cfg.Instance)
+	}
 	return s.take(sent, grant.Holds, grant.Time, freed)
 }
 
@@ -238,6 +334,9 @@
 		}
 	}
 	s.rows, s.until = rows, sent.Add(hold)
+	if o := s.cfg.Observer; o != nil {
+		o.Holds(s.cfg.Instance, rows, s.until)
+	}
 	return released
 }
 
