Compare a sample of backend servers, and refuse behind requests that hang

Change: the best of three, drawn by their rate and with preference for the own data centre; a running request that takes longer than usual is expected to take longer still, and one that ended without an answer counts as a sample.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"marjoramshore.example/clock"
@@ -36,17 +37,27 @@
 	Tried []core.NodeID
 }
 
-// Choose returns the backend server that should answer soonest, or nil when
-// none is usable. start varies the order among equals.
-func Choose(now clock.Instant, s *fleet.Snapshot, w Wish, start uint32) *fleet.Peer {
-	list := s.Services[w.Service]
+// Choose returns the backend server that should answer soonest among a sample,
+// or nil when none is usable. The sample keeps many nodes with reports of the
+// same age from choosing the same one. roll is a random number.
+func Choose(now clock.Instant, s *fleet.Snapshot, w Wish, roll uint64) *fleet.Peer {
+	list := make([]candidate, 0, len(s.Services[w.Service]))
+	total := 0.0
+	for _, p := range s.Services[w.Service] {
+		if p.Usable() && !tried(w.Tried, p.Node) {
+			c := candidate{p, weight(p, w)}
+			list = append(list, c)
+			total += c.weight
+		}
+	}
 	var best *fleet.Peer
 	var least time.Duration
-	for i := range list {
-		p := list[(i+int(start%uint32(len(list))))%len(list)]
-		if !p.Usable() || tried(w.Tried, p.Node) {
-			continue
-		}
+	r := rand.New(rand.NewPCG(roll, roll))
+	for range min(samples, len(list)) {
+		at := draw(list, r.Float64()*total)
+		p := list[at].peer
+		total -= list[at].weight
+		list[at].weight = 0
 		if c := cost(now, p, w); best == nil || c < least {
 			best, least = p, c
 		}
@@ -54,6 +65,45 @@
 	return best
 }
 
+// samples is the number of backend servers that are compared. With three, a
+// fleet of four is nearly always seen whole, and the best of many gets at most
+// three times its share before its next report.
+const samples = 3
+
+type candidate struct {
+	peer   *fleet.Peer
+	weight float64
+}
+
+// nearby is how much more often backend servers of the own data centre are
+// compared.
+const nearby = 3
+
+// weight is the rate at which a backend server can work.
+func weight(p *fleet.Peer, w Wish) float64 {
+	rate := float64(max(1, p.Slots)) / p.Load.Service().Seconds()
+	if p.DataCentre == w.DataCentre {
+		rate *= nearby
+	}
+	return rate
+}
+
+// draw returns the index of the candidate at a point of the summed weights. Those
+// that were drawn weigh nothing.
+func draw(list []candidate, point float64) int {
+	last := 0
+	for i, c := range list {
+		if c.weight == 0 {
+			continue
+		}
+		last = i
+		if point -= c.weight; point < 0 {
+			break
+		}
+	}
+	return last
+}
+
 func tried(list []core.NodeID, id core.NodeID) bool {
 	for _, t := range list {
 		if t == id {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -143,3 +143,30 @@
 	one.Add(start, true)
 	must.Less(t, 0.2, one.Share(start))
 }
+
+// Guards against many nodes that choose the same backend server because their
+// reports are of the same age: on the grown sites four slow backend servers got
+// most of the calls that ran out of time.
+func TestChooseSpreads(t *testing.T) {
+	var list []*fleet.Peer
+	for i := range 16 {
+		p := peer(string(rune('a'+i)), "x")
+		p.Load.Set(fleet.Usage{Running: 6, Service: 60 * time.Millisecond})
+		list = append(list, p)
+	}
+	list[3].Load.Set(fleet.Usage{Service: 60 * time.Millisecond})
+	list[7].Load.Set(fleet.Usage{Running: 6, Service: 120 * time.Millisecond})
+	s := &fleet.Snapshot{Services: map[core.Service][]*fleet.Peer{"s": list}}
+	got := map[core.NodeID]int{}
+	const rolls = 4000
+	for i := range rolls {
+		got[Choose(start, s, Wish{Service: "s", DataCentre: "a"}, uint64(i)).Node]++
+	}
+	must.Between(t, rolls/16, got["d"], rolls*samples/16*3/2, must.Sprint("the idle one"))
+	must.Less(t, rolls/32, got["h"], must.Sprint("the slow one"))
+	for _, p := range list {
+		if p != list[7] {
+			must.Greater(t, rolls/64, got[p.Node], must.Sprint(p.Node))
+		}
+	}
+}
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -78,8 +78,7 @@
 
 // Router is the handler of callers' requests.
 type Router struct {
-	cfg  Config
-	turn atomic.Uint32
+	cfg Config
 	// lines counts the explanations of the second that window names.
 	lines  atomic.Int64
 	window atomic.Int64
@@ -314,11 +313,11 @@
 	wish := dispatch.Wish{
 		Service: x.req.Service, DataCentre: x.cfg.DataCentre, BodyBytes: x.req.Length, Tried: x.tried,
 	}
-	now, turn := x.cfg.Clock.Now(), x.turn.Add(1)
-	p := dispatch.Choose(now, s, wish, turn)
+	now := x.cfg.Clock.Now()
+	p := dispatch.Choose(now, s, wish, rand.Uint64())
 	if p == nil && len(x.tried) > 0 {
 		wish.Tried = nil
-		p = dispatch.Choose(now, s, wish, turn)
+		p = dispatch.Choose(now, s, wish, rand.Uint64())
 	}
 	if p == nil {
 		return nil, core.Fail(core.CodeNoOwner, "no backend server of the service is known")
--- a/slotqueue/queue.go
+++ b/slotqueue/queue.go
@@ -149,11 +149,12 @@
 }
 
 // expected foresees the wait of a ticket: the work that goes before it, divided
-// among the slots. Running requests are half done on average.
+// among the slots. Running requests are half done on average. One that takes
+// longer than usual will take longer still, as on a backend server that hangs.
 func (q *Queue) expected(now clock.Instant, t *Ticket) time.Duration {
 	var work time.Duration
 	for r := range q.running {
-		work += q.estimate(r.Class) / 2
+		work += max(q.estimate(r.Class), r.Ran(now)) / 2
 	}
 	for _, w := range q.waiting {
 		if compare(w, t) > 0 {
@@ -176,8 +177,9 @@
 		return nil
 	}
 	delete(q.running, t)
-	if answered {
-		q.sample(t.Class, now.Sub(t.started))
+	// One without an answer would have taken longer.
+	if took := now.Sub(t.started); answered || took > q.estimate(t.Class) {
+		q.sample(t.Class, took)
 	}
 	return q.fill(now)
 }
--- a/slotqueue/queue_test.go
+++ b/slotqueue/queue_test.go
@@ -86,3 +86,22 @@
 	refused, _ = q.Expire(start.Add(time.Second))
 	must.Eq(t, []*Ticket{x}, refused)
 }
+
+// Guards against tickets that wait behind requests which hang: on the grown
+// sites 40 waited before 12 that had no answer, and ran out of time.
+func TestHungRequestsRefuseOthers(t *testing.T) {
+	q := open(4)
+	var hung []*Ticket
+	for range 4 {
+		x := &Ticket{Class: "c", Target: start.Add(250 * time.Millisecond), Due: start.Add(800 * time.Millisecond)}
+		must.Eq(t, Admit, q.Offer(start, x).Verdict)
+		hung = append(hung, x)
+	}
+	now := start.Add(600 * time.Millisecond)
+	x := &Ticket{Class: "c", Target: now.Add(250 * time.Millisecond), Due: now.Add(800 * time.Millisecond)}
+	must.Eq(t, Refuse, q.Offer(now, x).Verdict)
+	for _, h := range hung {
+		q.Done(now.Add(200*time.Millisecond), h, false)
+	}
+	must.Greater(t, firstEstimate, q.estimate("c"), must.Sprint("a request without an answer says that it takes long"))
+}
