Judge the soak's slots and recovery after what is under way has ended

The logs show that at 16.1 s a hung backend server's requests were given up, so that their connections closed as the next requests began, and that no request failed after 24 s: those in flight at the end of the window counted as unanswered.

--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -67,7 +67,6 @@
 	At       time.Duration
 	Server   string
 	Service  string
-	Slots    int64
 	Expected string // caller service that the node must state
 	Run      keyed.Run
 }
@@ -79,6 +78,13 @@
 	Rows      []keyed.Row
 }
 
+// Crowded tells that a backend server runs more requests than it has slots.
+type Crowded struct {
+	At             time.Duration
+	Server         string
+	Running, Slots int64
+}
+
 // Gone tells that a backend server ended.
 type Gone struct{ Server string }
 
@@ -168,9 +174,6 @@
 
 func (e Began) apply(l *Ledger) {
 	l.counts.Runs++
-	if e.Run.AtOnce > e.Slots {
-		l.violate(e.At, "slots", "%s runs %d requests in %d slots", e.Server, e.Run.AtOnce, e.Slots)
-	}
 	if at, ok := l.left[e.Server]; ok && e.At > at+drain {
 		l.violate(e.At, "drain", "request %s reached %s %v after its leave was acknowledged", e.Run.ID, e.Server, e.At-at)
 	}
@@ -232,6 +235,10 @@
 	}
 }
 
+func (e Crowded) apply(l *Ledger) {
+	l.violate(e.At, "slots", "%s runs %d requests in %d slots", e.Server, e.Running, e.Slots)
+}
+
 func (e Gone) apply(l *Ledger) { delete(l.holders, e.Server) }
 
 func (e Left) apply(l *Ledger) {
@@ -302,6 +309,23 @@
 	return n
 }
 
+// served checks that nearly all requests that were sent within a time were
+// answered.
+func (l *Ledger) served(from, to time.Duration) {
+	sent, answered := 0, 0
+	for _, r := range l.requests {
+		if r.At >= from && r.At < to {
+			sent++
+			if r.ended && r.status/100 == 2 {
+				answered++
+			}
+		}
+	}
+	if float64(answered) < servedPart*float64(sent) || sent == 0 {
+		l.violate(to, "recovery", "%d of %d requests are answered", answered, sent)
+	}
+}
+
 // Judge runs the checks that need the whole run, and returns all violations.
 func (l *Ledger) Judge() ([]Violation, Counts) {
 	for _, e := range l.cut {
--- a/soak/run.go
+++ b/soak/run.go
@@ -95,7 +95,12 @@
 
 // Began implements keyed.Observer.
 func (o observer) Began(server string, x keyed.Run) {
-	o.r.record(Began{o.r.now(), server, o.service, slots, callerOf(x.ID), x})
+	o.r.record(Began{o.r.now(), server, o.service, callerOf(x.ID), x})
+}
+
+// Crowded implements keyed.Observer.
+func (o observer) Crowded(server string, running int64) {
+	o.r.record(Crowded{o.r.now(), server, running, slots})
 }
 
 // Holds implements keyed.Observer.
@@ -186,13 +191,11 @@
 	if n := r.unheld(); n > 0 {
 		r.record(Unserved{r.now(), (&unheldError{n}).Error()})
 	}
-	before := r.counts()
+	from := r.now()
 	r.wait(ctx, lastLook)
-	now := r.counts()
-	sent, answered := now.Sent-before.Sent, now.Answered-before.Answered
-	if float64(answered) < servedPart*float64(sent) {
-		r.record(Unserved{r.now(), fmt.Sprintf("%d of %d requests are answered", answered, sent)})
-	}
+	to := r.now()
+	r.wait(ctx, callerPatience) // until what was sent has ended
+	r.ask(func(l *Ledger) { l.served(from, to) })
 }
 
 // query asks the ledger's goroutine.
@@ -217,11 +220,6 @@
 	return n
 }
 
-func (r *run) counts() (c Counts) {
-	r.ask(func(l *Ledger) { c = l.counts })
-	return c
-}
-
 func (r *run) wait(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
