Take key tables from other nodes instead of watching the store

Ruled out: deltas in beacons, which do not fit into a packet when keys of many rows move; tables are 6 KB at most.

--- a/sidecar/keys/calls.go
+++ b/sidecar/keys/calls.go
@@ -177,4 +177,5 @@
 		s.coord.Written(m.sent, now, true, m.record, m.revision)
 	}
 	s.observe(m.record, m.revision, 0)
+	s.cfg.Written()
 }
--- a/sidecar/keys/keys.go
+++ b/sidecar/keys/keys.go
@@ -77,6 +77,8 @@
 	Pool    *ants.Pool
 	Records Records
 	Calls   Calls
+	// Written is called after each write of the record that this node made.
+	Written func()
 }
 
 // Table is a version of the record for lookups.
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -218,28 +218,6 @@
 	return nil
 }
 
-// announceRetry is the pause before another try to write the node's address.
-const announceRetry = 300 * time.Millisecond
-
-// followObjects announces the node, and then follows the fleet. Whoever starts
-// later sees the announcement and sends a beacon.
-func (n *Node) followObjects(ctx context.Context) {
-	for {
-		err := n.announce(ctx)
-		if err == nil {
-			break
-		}
-		n.log.WithError(err).Warn("node not announced")
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(announceRetry):
-		}
-	}
-	objects := &watch.Duty{Kind: objectKind, Store: n.store, Handler: ownObjects{n}, Log: n.log}
-	objects.Run(ctx)
-}
-
 const (
 	// lookouts is the number of nodes that ask for the configuration beside
 	// their watch, which hears nothing for seconds while the store drops its
@@ -333,7 +311,7 @@
 		d := keys.New(keys.Config{
 			Service: s.Name, Node: n.self.Node, Incarnation: n.self.Incarnation, Member: s.Name == n.self.Service,
 			MaxHold: n.cfg.Settings.Bounds.MaxHold, Clock: n.clock, Log: n.log, Pool: n.pool,
-			Records: records{n.store}, Calls: n.caller,
+			Records: records{n.store}, Calls: n.caller, Written: n.nodes.Beat,
 		})
 		next[s.Name] = d
 		n.run(d.Run)
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -166,11 +166,18 @@
 	if m.b.Entry.Node == s.self.Node {
 		return
 	}
+	now := s.now()
 	known := s.view.Known(m.b.Entry.Node)
-	s.view.Hear(s.now(), m.b)
+	s.view.Hear(now, m.b)
 	if !known {
 		s.greet(m.b.Entry)
 	}
+	duties := s.cfg.Keys()
+	for service, version := range m.b.Tables {
+		if d := duties[service]; d != nil && d.Status().Revision < version {
+			s.ask(now, Behind{Service: service, Address: m.b.Entry.Peer}, true)
+		}
+	}
 }
 
 func (m listed) apply(s *state) {
@@ -238,15 +245,15 @@
 }
 
 const (
-	// behindFor is how long another node is ahead before it is asked: usually
-	// the store delivers the same change within milliseconds.
+	// behindFor is how long another node has a newer configuration before it is
+	// asked: usually the store delivers it within milliseconds. Key tables come
+	// from other nodes only, and are asked for at once.
 	behindFor = 150 * time.Millisecond
 	// askAgain separates questions for the same thing.
 	askAgain = 400 * time.Millisecond
 )
 
-// catchUp asks for what other nodes have in a newer version. It serves nodes
-// that the store does not reach.
+// catchUp asks for what other nodes have in a newer version.
 func (s *state) catchUp(now clock.Instant) {
 	own := s.cfg.Own()
 	e, ok := s.view.Ahead(own.Config)
@@ -257,14 +264,17 @@
 	}
 }
 
-// ask asks for one thing once this node has been behind for a while.
+// ask asks for one thing that another node has in a newer version.
 func (s *state) ask(now clock.Instant, b Behind, behind bool) {
 	if !behind {
 		delete(s.behind, b.Service)
 		return
 	}
-	if s.behind[b.Service] == 0 {
-		s.behind[b.Service] = now.Add(behindFor)
+	if _, ok := s.behind[b.Service]; !ok {
+		s.behind[b.Service] = now
+		if b.Service == "" {
+			s.behind[b.Service] = now.Add(behindFor)
+		}
 	}
 	if now.Before(s.behind[b.Service]) {
 		return
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"strings"
+	"time"
 
 	"github.com/apex/log"
 
@@ -115,33 +117,88 @@
 	n.nodes.Beat()
 }
 
-// ownObjects takes the objects of other nodes over.
-type ownObjects struct{ n *Node }
+const (
+	// announceRetry is the pause before another try to write the node's address
+	// or to read those of the others.
+	announceRetry = 300 * time.Millisecond
+	// listEvery separates stale listings of the node's own objects. Beacons
+	// bring changes at once; a listing serves nodes that miss them.
+	listEvery = 5 * time.Second
+)
 
-// Put implements watch.Handler.
-func (c ownObjects) Put(o platform.Object) {
-	n := c.n
+// followObjects announces the node, and then follows the fleet: whoever starts
+// later finds the announcement and sends a beacon.
+func (n *Node) followObjects(ctx context.Context) {
+	announced, listed := false, false
+	known := make(map[core.NodeID]bool)
+	for {
+		wait := announceRetry
+		switch {
+		case !announced:
+			err := n.announce(ctx)
+			if announced = err == nil; announced {
+				continue
+			}
+			n.log.WithError(err).Warn("node not announced")
+		case !listed:
+			l, err := n.store.List(ctx, objectKind)
+			if listed = err == nil; listed {
+				n.takeObjects(l, known)
+				continue
+			}
+			n.log.WithError(err).Warn("nodes not listed")
+		default:
+			wait = listEvery
+			l, err := n.store.ListStale(ctx, objectKind)
+			if err == nil {
+				n.takeObjects(l, known)
+			} else {
+				n.log.WithError(err).Debug("nodes not listed again")
+			}
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// takeObjects passes a listing on. known are the nodes of the listing before.
+func (n *Node) takeObjects(l platform.Listing, known map[core.NodeID]bool) {
+	gone := maps.Clone(known)
+	for _, o := range l.Objects {
+		if id, ok := n.takeObject(o); ok {
+			known[id] = true
+			delete(gone, id)
+		}
+	}
+	for id := range gone {
+		delete(known, id)
+		n.nodes.Remove(id)
+	}
+}
+
+// takeObject passes one object on. It returns the node that the object names.
+func (n *Node) takeObject(o platform.Object) (core.NodeID, bool) {
 	if service, ok := strings.CutPrefix(o.Name, keysPrefix); ok {
 		n.offerTable(core.Service(service), o)
-		return
+		return "", false
 	}
-	if !strings.HasPrefix(o.Name, nodePrefix) {
+	id, ok := strings.CutPrefix(o.Name, nodePrefix)
+	if !ok {
 		n.log.WithField("name", o.Name).Warn("object of an unknown name")
-		return
+		return "", false
 	}
 	var e fleet.Entry
 	if err := json.Unmarshal(o.Spec, &e); err != nil {
 		n.log.WithError(err).WithField("name", o.Name).Warn("node entry not readable")
-		return
+		return core.NodeID(id), true
 	}
 	n.nodes.List(e)
-}
-
-// Deleted implements watch.Handler.
-func (c ownObjects) Deleted(o platform.Object) {
-	if id, ok := strings.CutPrefix(o.Name, nodePrefix); ok {
-		c.n.nodes.Remove(core.NodeID(id))
-	}
+	return core.NodeID(id), true
 }
 
 // offerTable passes an assignment on to the duty of its service.
