--- a/soak/callers.go
+++ b/soak/callers.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"marjoramshore.example/standin/wire"
 )
 
 const (
@@ -88,16 +90,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callerPatience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, k.method, fmt.Sprintf("http://%s:%d%s", c.v.ip, portOutbound, target), strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, k.method, fmt.Sprintf("http://%s:%d%s", c.v.ip, wire.PortOutbound, target), strings.NewReader(body))
 	if err != nil {
 		c.fail(fault("request", err))
 		return 0
 	}
 	req.Host, req.Close = hostName, k.once
-	req.Header.Set("X-Marjoramshore-Attempt-Id", id)
-	req.Header.Set("X-Marjoramshore-Timeout-Ms", fmt.Sprint(callerTime.Milliseconds()))
+	req.Header.Set(wire.AttemptID, id)
+	req.Header.Set(wire.Timeout, fmt.Sprint(callerTime.Milliseconds()))
 	if k.service == keyedService {
-		req.Header.Set("X-Marjoramshore-Shard-Key", fmt.Sprint(c.rand.IntN(keys)))
+		req.Header.Set(wire.Key, fmt.Sprint(c.rand.IntN(keys)))
 	}
 	c.record(Sent{c.now(), id, k.service, target, k.once})
 	end := Ended{ID: id, Target: target}
@@ -124,7 +126,7 @@
 		return 0
 	}
 	end.Status, end.Body = resp.StatusCode, string(data)
-	end.Signed = resp.Header.Get("X-Marjoramshore-Response-Signature") != ""
+	end.Signed = resp.Header.Get(wire.Signature) != ""
 	after, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
 	if err != nil {
 		return 0
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -10,19 +10,16 @@
 	"time"
 
 	"marjoramshore.example/standin/keyed"
+	"marjoramshore.example/standin/wire"
 )
 
-const configText = `{"version":"%08x","routes":{"columns":["name","host","path-prefix","type","timeout","target-latency","priority","service","attempts"],
-"rows":[["look","%[2]s","/look/","idempotent","2s","500ms",2,"prices",2],["enter","%[2]s","/enter/","non_idempotent","2s","500ms",1,"prices",2],
-["sheet","%[2]s","/sheet/","upload","3s","500ms",1,"reports",2],["list","%[2]s","/list/","idempotent","2s","500ms",2,"reports",2]%[3]s]},
-"services":{"columns":["name","max-connections","sharded"],"rows":[["prices",100,true],["reports",100,null]]},
-"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3s","idle-timeout":"15s"}}`
-
 const (
 	hostName = "soak.example"
 	// inForce is the time within which a configuration is in force; the bound
 	// of the users' platform.
 	inForce = 2 * time.Second
+	// target is the latency objective of all routes.
+	target = 500 * time.Millisecond
 	// lostWrites is how many answers of the store are lost in a row.
 	lostWrites = 3
 )
@@ -31,8 +28,18 @@
 // names the version.
 func (r *run) configure() {
 	r.version++
-	route := fmt.Sprintf(`,["v%[1]d","%[2]s","/v%[1]d/","idempotent","2s","500ms",2,"reports",2]`, r.version, hostName)
-	r.store.Put("config", "main", fmt.Appendf(nil, configText, r.version, hostName, route))
+	version := fmt.Sprintf("v%d", r.version)
+	routes := []wire.Route{
+		{Name: "look", Prefix: "/look/", Kind: "idempotent", Service: keyedService, Priority: 2},
+		{Name: "enter", Prefix: "/enter/", Kind: "non_idempotent", Service: keyedService, Priority: 1},
+		{Name: "sheet", Prefix: "/sheet/", Kind: "upload", Service: plainService, Priority: 1},
+		{Name: "list", Prefix: "/list/", Kind: "idempotent", Service: plainService, Priority: 2},
+		{Name: version, Prefix: "/" + version + "/", Kind: "idempotent", Service: plainService, Priority: 2},
+	}
+	for i := range routes {
+		routes[i].Timeout, routes[i].Target = callerTime, target
+	}
+	r.store.Put("config", "main", wire.Config(r.version, hostName, routes, map[string]bool{keyedService: true, plainService: false}))
 }
 
 // begin starts a disturbance. Its end comes by itself.
@@ -172,15 +179,15 @@
 			if time.Duration(v.down.Load()) > sent-after || !v.ready() {
 				continue
 			}
-			req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/v%d/", v.ip, portOutbound, version), nil)
+			req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/v%d/", v.ip, wire.PortOutbound, version), nil)
 			if err != nil {
 				r.fail(fault("request", err))
 				return
 			}
 			req.Host = hostName
 			id := r.nextID(v, "c")
-			req.Header.Set("X-Marjoramshore-Attempt-Id", id)
-			req.Header.Set("X-Marjoramshore-Timeout-Ms", "900")
+			req.Header.Set(wire.AttemptID, id)
+			req.Header.Set(wire.Timeout, "900")
 			at := r.now()
 			r.record(Sent{At: at, ID: id, Service: plainService, Target: fmt.Sprintf("/v%d/", version)})
 			resp, err := client.Do(req)
@@ -198,7 +205,7 @@
 // ready asks a node as the platform does.
 func (v *vm) ready() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d/ready", v.ip, portReady))
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/ready", v.ip, wire.PortReady))
 	if err != nil {
 		return false
 	}
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -13,17 +13,7 @@
 	"time"
 
 	"marjoramshore.example/standin/keyed"
-)
-
-// Ports are the same on all VMs of a run; each VM has an address of its own.
-const (
-	portReady    = 8141
-	portStore    = 8142
-	portControl  = 8144
-	portBackend  = 8145
-	portInbound  = 8146
-	portOutbound = 8147
-	portPeers    = 7380
+	"marjoramshore.example/standin/wire"
 )
 
 const (
@@ -38,22 +28,10 @@
 	startAgain = 200 * time.Millisecond
 )
 
-const settingsText = `node-id=%[1]s
-zone=%[2]s
-ip=%[3]s
-service=%[4]s
-listen.outbound=%[3]s:8147
-listen.inbound=%[3]s:8146
-listen.ready=%[3]s:8141
-listen.control=%[3]s:8144
-app-addr=%[3]s:8145
-internal-port-range=7380,7380
-limits.memory-mb=284
-bootstrap=true
-heartbeat=500ms
-bounds=drain=2s,grace=6s,hold-max=10000ms,retry-budget-ratio=0.2,budget-window=10s,budget-min-retries=60
-platform.address=%[5]s:8142
-`
+// bounds are the figures of the settings of every node.
+var bounds = wire.Bounds{
+	Drain: drain, Grace: grace, ReportEvery: reportEvery, RetryWindow: budgetWindow, RetryRatio: budgetRatio, MinRetries: budgetFloor,
+}
 
 // vm is a node's process with the backend server beside it and the links that
 // lead to the node.
@@ -87,7 +65,7 @@
 	v := &vm{run: r, name: fmt.Sprintf("node-%d", i), service: service, ip: host(0, i), via: host(1, i)}
 	v.file = filepath.Join(r.opts.Dir, v.name+".conf")
 	zone := string(rune('a' + i%3))
-	text := fmt.Sprintf(settingsText, v.name, zone, v.ip, service, v.via)
+	text := wire.VM{Node: v.name, Zone: zone, IP: v.ip, Service: service, Store: v.via}.Settings(bounds)
 	if err := os.WriteFile(v.file, []byte(text), 0o600); err != nil {
 		return nil, fault("write settings", err)
 	}
@@ -96,16 +74,16 @@
 		return nil, fault("create a log", err)
 	}
 	at := func(ip string, port int) string { return ip + ":" + strconv.Itoa(port) }
-	if v.inbound, err = newLink(at(v.via, portInbound), at(v.ip, portInbound)); err != nil {
+	if v.inbound, err = newLink(at(v.via, wire.PortInbound), at(v.ip, wire.PortInbound)); err != nil {
 		return nil, err
 	}
-	if v.calls, err = newLink(at(v.via, portPeers), at(v.ip, portPeers)); err != nil {
+	if v.calls, err = newLink(at(v.via, wire.PortPeers), at(v.ip, wire.PortPeers)); err != nil {
 		return nil, err
 	}
-	if v.store, err = newLink(at(v.via, portStore), r.store.Addr()); err != nil {
+	if v.store, err = newLink(at(v.via, wire.PortStore), r.store.Addr()); err != nil {
 		return nil, err
 	}
-	if v.beacons, err = newDatagrams(at(v.via, portPeers), at(v.ip, portPeers), &r.muted); err != nil {
+	if v.beacons, err = newDatagrams(at(v.via, wire.PortPeers), at(v.ip, wire.PortPeers), &r.muted); err != nil {
 		return nil, err
 	}
 	v.over.Go(v.supervise)
@@ -116,8 +94,8 @@
 func (v *vm) serve() error {
 	v.lives++
 	name := fmt.Sprintf("%s-%d", v.name, v.lives)
-	s, err := keyed.Start(v.ip+":"+strconv.Itoa(portBackend), keyed.Config{
-		Service: v.service, Instance: name, Reports: v.ip + ":" + strconv.Itoa(portControl), Sharded: v.service == keyedService,
+	s, err := keyed.Start(v.ip+":"+strconv.Itoa(wire.PortBackend), keyed.Config{
+		Service: v.service, Instance: name, Reports: v.ip + ":" + strconv.Itoa(wire.PortReports), Sharded: v.service == keyedService,
 		Slots: slots, Work: workTime, Every: reportEvery, Observer: observer{v.run, v.service},
 	})
 	if err != nil {
@@ -139,7 +117,7 @@
 func (v *vm) supervise() {
 	for !v.stopping.Load() {
 		cmd := exec.Command(v.run.opts.Binary, "sidecar", "--advertise", v.via)
-		cmd.Env = []string{"MARJORAMSHORE_NODE_FILE=" + v.file}
+		cmd.Env = []string{wire.SettingsVariable + "=" + v.file}
 		cmd.Stdout, cmd.Stderr = v.out, v.out
 		if err := cmd.Start(); err != nil {
 			v.run.fail(fault("start a process", err))
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"marjoramshore.example/standin/wire"
 )
 
 // Config sets up a Server.
@@ -166,10 +168,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Marjoramshore-Attempt-Id")
-	w.Header().Set("X-Marjoramshore-Attempt-Id", id)
-	want := r.Header.Get("X-Marjoramshore-Expected-Instance")
-	key, _ := strconv.Atoi(r.Header.Get("X-Marjoramshore-Shard-Key"))
+	id := r.Header.Get(wire.AttemptID)
+	w.Header().Set(wire.AttemptID, id)
+	want := r.Header.Get(wire.Instance)
+	key, _ := strconv.Atoi(r.Header.Get(wire.Key))
 	s.mu.Lock()
 	misdirected := want != "" && want != s.cfg.Instance || s.cfg.Sharded && !s.holds(key)
 	if !misdirected {
@@ -177,7 +179,7 @@
 	}
 	s.mu.Unlock()
 	if misdirected {
-		w.Header().Set("X-Marjoramshore-Not-Executed", "1")
+		w.Header().Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -186,10 +188,10 @@
 	for p := s.peak.Load(); n > p && !s.peak.CompareAndSwap(p, n); p = s.peak.Load() {
 	}
 	if o := s.cfg.Observer; o != nil {
-		if r.Header.Get("X-Marjoramshore-Shard-Key") == "" {
+		if r.Header.Get(wire.Key) == "" {
 			key = -1
 		}
-		o.Began(s.cfg.Instance, Run{id, r.Method, r.RequestURI, r.Header.Get("X-Marjoramshore-Caller-Service"), key})
+		o.Began(s.cfg.Instance, Run{id, r.Method, r.RequestURI, r.Header.Get(wire.Caller), key})
 		if n > int64(s.cfg.Slots) {
 			time.AfterFunc(noticed, s.recount)
 		}
@@ -203,7 +205,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	s.answer(w, r, fmt.Sprintf("%s %s %d %s", r.Method, r.RequestURI, len(body), r.Header.Get("X-Marjoramshore-Caller-Service")))
+	s.answer(w, r, fmt.Sprintf("%s %s %d %s", r.Method, r.RequestURI, len(body), r.Header.Get(wire.Caller)))
 }
 
 // noticed is how long the end of a connection takes to end its request here. A
@@ -222,7 +224,7 @@
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, body string) {
 	f := Fault(s.fault.Load())
 	if f != Unsigned {
-		w.Header().Set("X-Marjoramshore-Response-Signature", "signed-by-"+s.cfg.Instance)
+		w.Header().Set(wire.Signature, "signed-by-"+s.cfg.Instance)
 	}
 	switch f {
 	case Hang:
--- /dev/null
+++ b/standin/wire/wire.go
@@ -0,0 +1,98 @@
+// Package wire holds the platform's side of the protocol for the stand-ins and
+// the soak: what the platform, callers and backend servers write. It repeats
+// names of package platform on purpose, so that a name that is wrong there
+// shows.
+package wire
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Header fields of requests and answers.
+const (
+	AttemptID   = "X-Marjoramshore-Attempt-Id"
+	Timeout     = "X-Marjoramshore-Timeout-Ms"
+	Key         = "X-Marjoramshore-Shard-Key"
+	Caller      = "X-Marjoramshore-Caller-Service"
+	Instance    = "X-Marjoramshore-Expected-Instance"
+	NotExecuted = "X-Marjoramshore-Not-Executed"
+	Signature   = "X-Marjoramshore-Response-Signature"
+)
+
+// SettingsVariable names the settings file of a process.
+const SettingsVariable = "MARJORAMSHORE_NODE_FILE"
+
+// Ports of a VM; they are the same on all VMs.
+const (
+	PortReady    = 8141
+	PortStore    = 8142
+	PortReports  = 8144
+	PortBackend  = 8145
+	PortInbound  = 8146
+	PortOutbound = 8147
+	PortPeers    = 7380
+)
+
+// Bounds are the figures of the settings that the soak checks.
+type Bounds struct {
+	Drain, Grace, ReportEvery, RetryWindow time.Duration
+	RetryRatio                             float64
+	MinRetries                             int
+}
+
+// VM is one machine.
+type VM struct {
+	Node, Zone, IP, Service string
+	// Store is the host of the store.
+	Store string
+}
+
+// Settings returns the settings file of a VM.
+func (v VM) Settings(b Bounds) string {
+	var out strings.Builder
+	set := func(name string, value any) { fmt.Fprintf(&out, "%s=%v\n", name, value) }
+	at := func(name string, port int) { set(name, fmt.Sprintf("%s:%d", v.IP, port)) }
+	set("node-id", v.Node)
+	set("zone", v.Zone)
+	set("ip", v.IP)
+	set("service", v.Service)
+	at("listen.outbound", PortOutbound)
+	at("listen.inbound", PortInbound)
+	at("listen.ready", PortReady)
+	at("listen.control", PortReports)
+	at("app-addr", PortBackend)
+	set("internal-port-range", fmt.Sprintf("%d,%d", PortPeers, PortPeers))
+	set("limits.memory-mb", 284)
+	set("bootstrap", true)
+	set("heartbeat", b.ReportEvery)
+	set("bounds", fmt.Sprintf("drain=%v,grace=%v,hold-max=10000ms,retry-budget-ratio=%v,budget-window=%v,budget-min-retries=%d",
+		b.Drain, b.Grace, b.RetryRatio, b.RetryWindow, b.MinRetries))
+	set("platform.address", fmt.Sprintf("%s:%d", v.Store, PortStore))
+	return out.String()
+}
+
+// Route is one route of a configuration. Its host is the configuration's.
+type Route struct {
+	Name, Prefix, Kind, Service string
+	Timeout, Target             time.Duration
+	Priority                    int
+}
+
+// Config returns a configuration. Services that are true divide their keys.
+func Config(version int, host string, routes []Route, services map[string]bool) []byte {
+	rows := make([]string, 0, len(routes))
+	for _, r := range routes {
+		rows = append(rows, fmt.Sprintf(`[%q,%q,%q,%q,"%v","%v",%d,%q,2]`, r.Name, host, r.Prefix, r.Kind, r.Timeout, r.Target, r.Priority, r.Service))
+	}
+	var list []string
+	for name, sharded := range services {
+		list = append(list, fmt.Sprintf(`[%q,100,%v]`, name, sharded))
+	}
+	return fmt.Appendf(nil, `{"version":"%08x",
+"routes":{"columns":["name","host","path-prefix","type","timeout","target-latency","priority","service","attempts"],"rows":[%s]},
+"services":{"columns":["name","max-connections","sharded"],"rows":[%s]},
+"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3s","idle-timeout":"15s"}}`,
+		version, strings.Join(rows, ","), strings.Join(list, ","))
+}
