--- a/soak/run.go
+++ b/soak/run.go
@@ -160,6 +160,9 @@
 		r.vms = append(r.vms, v)
 	}
 	if !r.await(settleIn, func() bool { return r.unheld() == 0 }) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		return fault("start", &unheldError{r.unheld()})
 	}
 	var callers sync.WaitGroup
