--- a/soak/steps.go
+++ b/soak/steps.go
@@ -25,16 +25,19 @@
 )
 
 // configure writes the next version of the configuration, with a route that
-// names the version.
+// names the version. Routes of earlier versions stay, so that a check may come
+// after the next version.
 func (r *run) configure() {
 	r.version++
-	version := fmt.Sprintf("v%d", r.version)
 	routes := []wire.Route{
 		{Name: "look", Prefix: "/look/", Kind: "idempotent", Service: keyedService, Priority: 2},
 		{Name: "enter", Prefix: "/enter/", Kind: "non_idempotent", Service: keyedService, Priority: 1},
 		{Name: "sheet", Prefix: "/sheet/", Kind: "upload", Service: plainService, Priority: 1},
 		{Name: "list", Prefix: "/list/", Kind: "idempotent", Service: plainService, Priority: 2},
-		{Name: version, Prefix: "/" + version + "/", Kind: "idempotent", Service: plainService, Priority: 2},
+	}
+	for i := range r.version {
+		name := fmt.Sprintf("v%d", i+1)
+		routes = append(routes, wire.Route{Name: name, Prefix: "/" + name + "/", Kind: "idempotent", Service: plainService, Priority: 2})
 	}
 	for i := range routes {
 		routes[i].Timeout, routes[i].Target = callerTime, target
