--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -374,3 +374,22 @@
 		must.True(t, resp.StatusCode == 200 || resp.StatusCode == 503)
 	}
 }
+
+// Guards against a node that stays in the view of others after its VM was
+// removed, and against one that is forgotten while it lives.
+func TestListingsFollowTheFleet(t *testing.T) {
+	r := start(t, "prices", "prices", "reports")
+	r.servers[2].Leave()
+	time.Sleep(2 * r.sets[2].ReportEvery)
+	r.nodes[2].Stop()
+	r.servers[2].Crash()
+	r.nodes, r.servers = r.nodes[:2], r.servers[:2]
+	r.eventually("the address of a removed node stays", 10*time.Second, func() bool { return !r.store.Has("marjoramshore", "node.node-2") })
+	must.True(t, r.store.Has("marjoramshore", "node.node-0"))
+	resp, _, err := r.send(0, "POST", "/sheet/1", "l1", -1, "body")
+	must.NoError(t, err)
+	must.Eq(t, 503, resp.StatusCode, must.Sprint("no backend server of the service is left"))
+	resp, _, err = r.send(0, "GET", "/look/x", "l2", 7, "")
+	must.NoError(t, err)
+	must.Eq(t, 200, resp.StatusCode)
+}
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -107,6 +107,14 @@
 	return s.calls
 }
 
+// Has reports whether an object exists.
+func (s *Store) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.kinds[kind][name]
+	return ok
+}
+
 // Put writes an object as an operator does.
 func (s *Store) Put(kind, name string, spec json.RawMessage) {
 	s.mu.Lock()
