Let a second SIGTERM not end a stop

The log of node-0 has 'node stops' and no 'node ends': the second SIGTERM of a series ended the process by the default action. Change: only a second interrupt ends a stopping process. Ruled out: a cut by the stop itself, which had 3 s left.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -55,9 +55,11 @@
 		return output{out, errOut}.fail(exitUsage, err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	// A second signal ends the process at once: a graceful stop may wait for
-	// minutes, for example when the whole fleet and the store are stopped.
-	defer context.AfterFunc(ctx, stop)()
+	defer stop()
+	// A second interrupt ends the process at once: a graceful stop may wait for
+	// minutes, for example when the whole fleet and the store are stopped. A
+	// second SIGTERM does not, since a platform may repeat it.
+	defer context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })()
 	for _, c := range commands {
 		if c.sub.Used {
 			return c.run(ctx, output{out, errOut})
