Count the time that a request of another node waited before it was read

A hop states the time that is left relative to its sending; a node without processor time read it 0.8 s late and let it run for its whole time. Change: hops carry the time of sending on the sender's clock, and the receiver reduces the time left by what exceeds the least difference of the two clocks.

--- a/peers/hop.go
+++ b/peers/hop.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/frontend"
@@ -33,6 +34,8 @@
 	hopRetry     = "Marjoram-Hop-Retry-Us"
 	hopArrived   = "Marjoram-Hop-Arrived"
 	hopLoad      = "Marjoram-Hop-Load"
+	hopFrom      = "Marjoram-Hop-From"
+	hopSent      = "Marjoram-Hop-Sent"
 	statusFailed = http.StatusServiceUnavailable
 )
 
@@ -43,13 +46,18 @@
 }
 
 // Inbound is the frontend's dialect for requests of other nodes.
-type Inbound struct{ Loads Loads }
+type Inbound struct {
+	Loads Loads
+	// Delays corrects the time that late requests have left; nil corrects none.
+	Delays *Delays
+}
 
 var _ frontend.Dialect = Inbound{}
 
 // Parse implements frontend.Dialect.
-func (Inbound) Parse(h core.Head, now time.Time) (*core.Request, error) {
+func (i Inbound) Parse(h core.Head, now time.Time) (*core.Request, error) {
 	req := &core.Request{Method: h.Method, Path: h.Path, Body: core.NoBody}
+	now = now.Add(-i.delay(h.Fields))
 	for _, f := range h.Fields {
 		if !strings.HasPrefix(f.Name, hopPrefix) {
 			req.Header = append(req.Header, f)
@@ -66,6 +74,32 @@
 	return req, nil
 }
 
+// delay returns how long a request waited before it was read. The time that it
+// has left is relative to when it was sent.
+func (i Inbound) delay(fields []core.Field) time.Duration {
+	if i.Delays == nil {
+		return 0
+	}
+	var from uint64
+	var sent int64
+	for _, f := range fields {
+		var err error
+		switch f.Name {
+		case hopFrom:
+			from, err = strconv.ParseUint(f.Value, 10, 64)
+		case hopSent:
+			sent, err = strconv.ParseInt(f.Value, 10, 64)
+		}
+		if err != nil {
+			return 0 // an older sender, or none that states its clock
+		}
+	}
+	if from == 0 || sent == 0 {
+		return 0
+	}
+	return i.Delays.of(core.Incarnation(from), clock.Instant(sent))
+}
+
 func parseHop(req *core.Request, f core.Field, now time.Time) error {
 	var n int64
 	switch f.Name {
@@ -141,8 +175,14 @@
 		strconv.FormatInt(u.Service.Microseconds(), 10) + "," + strconv.Itoa(int(perMille*u.Faults))
 }
 
+// Origin tells other nodes whose clock the time of sending is read from.
+type Origin struct {
+	Incarnation core.Incarnation
+	Clock       clock.Clock
+}
+
 // outbound is the gate's dialect for requests to another node.
-type outbound struct{}
+type outbound struct{ Origin }
 
 var _ gate.Dialect = outbound{}
 
@@ -170,7 +210,9 @@
 }
 
 // Stamp implements gate.Dialect.
-func (outbound) Stamp(h http.Header, req *core.Request, _ gate.Permit) {
+func (o outbound) Stamp(h http.Header, req *core.Request, _ gate.Permit) {
+	h[hopFrom] = []string{strconv.FormatUint(uint64(o.Incarnation), 10)}
+	h[hopSent] = []string{strconv.FormatInt(int64(o.Clock.Now()), 10)}
 	left := func(name string, at time.Time) {
 		if !at.IsZero() {
 			h[name] = []string{strconv.FormatInt(time.Until(at).Microseconds(), 10)}
--- a/peers/link.go
+++ b/peers/link.go
@@ -35,10 +35,10 @@
 	gate    *gate.Gate
 }
 
-// NewLink returns a link to the inbound address of a node.
-func NewLink(address string) (*Link, error) {
+// NewLink returns a link of a process to the inbound address of a node.
+func NewLink(address string, from Origin) (*Link, error) {
 	g, err := gate.New(gate.Config{
-		BackendAddr: address, Dialect: outbound{}, UserTimeout: linkSilent, BufferSize: linkBuffer,
+		BackendAddr: address, Dialect: outbound{from}, UserTimeout: linkSilent, BufferSize: linkBuffer,
 		MaxConns: linkConns, ConnWait: linkWait, DialTimeout: linkDial, IdleTimeout: linkIdle,
 	})
 	if err != nil {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -32,7 +32,7 @@
 	must.NoError(t, err)
 	f.Start()
 	t.Cleanup(func() { must.NoError(t, f.Close()) })
-	l, err := NewLink(f.Addr())
+	l, err := NewLink(f.Addr(), here())
 	must.NoError(t, err)
 	return l
 }
@@ -103,7 +103,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	must.NoError(t, ln.Close())
-	l, err := NewLink(ln.Addr().String())
+	l, err := NewLink(ln.Addr().String(), here())
 	must.NoError(t, err)
 	var load fleet.Load
 	clk := clock.NewReal()
@@ -179,3 +179,5 @@
 	must.NoError(t, err)
 	must.Eq(t, want, got)
 }
+
+func here() Origin { return Origin{Incarnation: 1, Clock: clock.NewReal()} }
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -137,6 +137,9 @@
 	if req.Service != s.cfg.Service {
 		return nil, core.Fail(core.CodeNotOwner, "another service runs here")
 	}
+	if ctx.Err() != nil {
+		return nil, core.EndedNotRun(ctx) // read too late
+	}
 	s.sent.Add(1)
 	defer s.sent.Add(-1)
 	o, err := s.admit(ctx, req)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -68,6 +68,7 @@
 	links   links
 	caller  *peers.Caller
 	beacons *peers.Beacons
+	delays  *peers.Delays
 	keyMap  atomic.Pointer[map[core.Service]*keys.Duty]
 	follows chan routes.Config // one element: the newest configuration to follow
 	pending sync.Map           // of pendingTable by core.Service
@@ -105,6 +106,7 @@
 		}),
 		metrics: newMeters(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
 	}
+	n.delays = peers.NewDelays(n.clock)
 	n.keyMap.Store(&map[core.Service]*keys.Duty{})
 	if n.beacons, err = peers.ListenBeacons(net.JoinHostPort(s.IP, strconv.Itoa(s.PortLo))); err != nil {
 		return nil, err
@@ -144,7 +146,7 @@
 	out, in := base, base
 	out.Addr, out.Handler, out.Dialect = s.Callers, n.router, platform.Callers{}
 	out.KeepAlive, in.IdleTimeout = keepAlive, idleLink
-	in.Addr, in.Handler, in.Dialect = s.Inbound, n.backend, peers.Inbound{Loads: n.backend}
+	in.Addr, in.Handler, in.Dialect = s.Inbound, n.backend, peers.Inbound{Loads: n.backend, Delays: n.delays}
 	var err error
 	if n.outbound, err = frontend.New(out); err != nil {
 		return err
