Log where a refused request spent its time, and the load of each node

Callers of a large fleet were refused 0.3 to 1 s after the refusal was due, and calls of backend servers ended at their deadline. The logs did not tell whether such a request waited for the processor of the other node, on a full link, in the queue of slots, or in its own node.

TestFailureTellsTimeAtOtherNode covers the fields; no decision changes.

--- a/core/errors.go
+++ b/core/errors.go
@@ -131,6 +131,10 @@
 	// ReachedBackend reports whether a backend server received the request and
 	// stated that it did not run it.
 	ReachedBackend bool
+	// PeerReadDelay is how long the request waited before the other node that
+	// reports the failure read it, and PeerTime how long it was there. Both are
+	// zero for a failure of this node.
+	PeerReadDelay, PeerTime time.Duration
 	// OwnerPeerAddress is the host:port of the peer listener of the current
 	// owner if Code is CodeNotOwner and the owner is known; otherwise empty.
 	OwnerPeerAddress string
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -80,6 +80,11 @@
 	Instance string
 	// Origin is the service of the VM where the request originated, or empty.
 	Origin Service
+	// ReceivedAt is when this node read the request from another node, and
+	// ReadDelay how long the request waited before that. Both are zero for a
+	// request that entered here.
+	ReceivedAt time.Time
+	ReadDelay  time.Duration
 
 	Method string
 	Path   string // with the query
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -42,6 +42,9 @@
 	// hopArrived is set if a backend server received the request and stated
 	// that it did not run it.
 	hopArrived = "Marjoram-Hop-Arrived"
+	// hopTiming tells how long a failed request waited before it was read, and
+	// how long it was at the node, both in microseconds.
+	hopTiming = "Marjoram-Hop-Timing"
 	// hopLoad holds the backend server's usage: running and waiting requests,
 	// mean service time in microseconds, and failed requests per mille.
 	hopLoad = "Marjoram-Hop-Load"
@@ -72,8 +75,8 @@
 
 // ParseHead implements frontend.Dialect.
 func (i InboundDialect) ParseHead(h core.RequestHead, now time.Time) (*core.Request, error) {
-	req := &core.Request{Method: h.Method, Path: h.Path, Body: core.NoBody}
-	now = now.Add(-i.estimateDelay(h.Fields))
+	req := &core.Request{Method: h.Method, Path: h.Path, Body: core.NoBody, ReceivedAt: now, ReadDelay: i.estimateDelay(h.Fields)}
+	now = now.Add(-req.ReadDelay)
 	for _, f := range h.Fields {
 		if !strings.HasPrefix(f.Name, hopPrefix) {
 			req.Header = append(req.Header, f)
@@ -154,16 +157,17 @@
 }
 
 // EncodeFailure implements frontend.Dialect.
-func (i InboundDialect) EncodeFailure(_ *core.Request, e *core.Error) frontend.FailureResponse {
+func (i InboundDialect) EncodeFailure(req *core.Request, e *core.Error) frontend.FailureResponse {
 	fields := []core.Field{
 		{Name: hopCode, Value: strconv.Itoa(int(e.Code))},
 		{Name: hopLoad, Value: i.encodeLoad()},
+		{Name: hopTiming, Value: encodeMicros(req.ReadDelay) + "," + encodeMicros(time.Since(req.ReceivedAt))},
 	}
 	if e.Detail != "" {
 		fields = append(fields, core.Field{Name: hopDetail, Value: e.Detail})
 	}
 	if e.RetryAfter > 0 {
-		fields = append(fields, core.Field{Name: hopRetryAfter, Value: strconv.FormatInt(e.RetryAfter.Microseconds(), 10)})
+		fields = append(fields, core.Field{Name: hopRetryAfter, Value: encodeMicros(e.RetryAfter)})
 	}
 	if e.ReachedBackend {
 		fields = append(fields, core.Field{Name: hopArrived, Value: "1"})
@@ -171,6 +175,8 @@
 	return frontend.FailureResponse{Status: statusFailed, Fields: fields}
 }
 
+func encodeMicros(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+
 // ResponseFields implements frontend.Dialect.
 func (i InboundDialect) ResponseFields(_ *core.Request, _ *core.Response, fields []core.Field) []core.Field {
 	out := make([]core.Field, 0, len(fields)+1)
@@ -276,16 +282,26 @@
 		case hopDetail:
 			e.Detail = f.Value
 		case hopRetryAfter:
-			if n, err := strconv.ParseInt(f.Value, 10, 64); err == nil {
-				e.RetryAfter = time.Duration(n) * time.Microsecond
-			}
+			e.RetryAfter = decodeMicros(f.Value)
 		case hopArrived:
 			e.ReachedBackend = true
+		case hopTiming:
+			late, took, _ := strings.Cut(f.Value, ",")
+			e.PeerReadDelay, e.PeerTime = decodeMicros(late), decodeMicros(took)
 		}
 	}
 	return e
 }
 
+// decodeMicros decodes a time in microseconds. A malformed one counts as 0.
+func decodeMicros(text string) time.Duration {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Microsecond
+}
+
 // decodeLoad decodes the value of hopLoad. It returns nil when it is malformed.
 func decodeLoad(text string) *fleet.Usage {
 	values := strings.Split(text, ",")
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -188,3 +188,18 @@
 }
 
 func newSender() Sender { return Sender{Incarnation: 1, Clock: clock.NewReal()} }
+
+// Guards against a late refusal of which the logs do not tell whether it waited
+// before it was read or at the other node.
+func TestFailureTellsTimeAtOtherNode(t *testing.T) {
+	l := startPeer(t, func(context.Context, *core.Request) (*core.Response, error) {
+		time.Sleep(30 * time.Millisecond)
+		return nil, core.Fail(core.CodeQueueFull, "")
+	})
+	_, err := l.Send(context.Background(), clock.NewReal(), newRequest(time.Now()), &fleet.Load{})
+	e := core.AsError(err)
+	must.Eq(t, core.CodeQueueFull, e.Code)
+	must.GreaterEq(t, 30*time.Millisecond, e.PeerTime)
+	must.Less(t, time.Second, e.PeerTime)
+	must.Eq(t, 0, e.PeerReadDelay)
+}
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -97,8 +98,24 @@
 	inFlight     atomic.Int64
 	// demandBits is the demand as the bits of a float64.
 	demandBits atomic.Uint64
+	counts     counters
 }
 
+// Counts holds the decisions on requests since the proxy was created.
+type Counts struct{ Offered, Refused, Expired int64 }
+
+type counters struct{ offered, refused, expired atomic.Int64 }
+
+// Counts returns the decisions so far: requests that asked for a slot, those of
+// them refused at once, and those whose deadline passed while they waited.
+func (p *Proxy) Counts() Counts {
+	return Counts{Offered: p.counts.offered.Load(), Refused: p.counts.refused.Load(), Expired: p.counts.expired.Load()}
+}
+
+// Demand returns the moving average of the arriving work as a share of what the
+// slots can do.
+func (p *Proxy) Demand() float64 { return math.Float64frombits(p.demandBits.Load()) }
+
 // New returns a proxy. It admits no request until Run is called.
 func New(cfg Config) (*Proxy, error) {
 	p := &Proxy{
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -230,11 +230,13 @@
 // offerRequest passes a slot request to the queue.
 func (st *state) offerRequest(request *slotRequest) {
 	st.arrivals++
+	st.counts.offered.Add(1)
 	decision := st.queue.Offer(st.now(), &request.ticket)
 	switch decision.Verdict {
 	case slotqueue.Admit:
 		request.decision.Send(nil)
 	case slotqueue.Refuse:
+		st.counts.refused.Add(1)
 		request.decision.Send(&core.Error{Code: decision.Code, Detail: "no slot of the backend server becomes free in time", RetryAfter: decision.RetryAfter})
 	}
 }
@@ -273,6 +275,7 @@
 func (st *state) tick() {
 	st.updateDemand()
 	refused, started := st.queue.Expire(st.now())
+	st.counts.expired.Add(int64(len(refused)))
 	st.refuseAll(refused, core.CodeDeadlineNotRun, "no slot of the backend server became free before the deadline")
 	st.admitAll(started)
 	if deadline := clock.Instant(st.sendDeadline.Load()); deadline != 0 && !st.now().Before(deadline) {
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 
 	"github.com/apex/log"
 
@@ -29,7 +28,7 @@
 	}
 	ack.Grant, ok = controller.HandleReport(ctx, shards.BackendReport{
 		Holder: p.holderOf(r), Ready: !r.Leaving, Slots: r.Slots, Holds: r.Held, Freed: r.Freed,
-		Demand: math.Float64frombits(p.demandBits.Load()),
+		Demand: p.Demand(),
 	})
 	return ack, ok
 }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -226,6 +226,7 @@
 	n.runLoop(n.pollConfig)
 	n.runLoop(n.syncObjects)
 	n.runLoop(n.watchSettings)
+	n.runLoop(n.logLoad)
 	return nil
 }
 
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -429,6 +429,9 @@
 	if q.peer != nil {
 		running, waiting := q.peer.Load.RequestCounts()
 		fields["peer"], fields["instance"], fields["running"], fields["waiting"] = q.peer.Node, q.req.Instance, running, waiting
+		if e.PeerReadDelay+e.PeerTime > 0 {
+			fields["peer_late_ms"], fields["peer_ms"] = e.PeerReadDelay.Milliseconds(), e.PeerTime.Milliseconds()
+		}
 	}
 	q.cfg.Log.WithFields(fields).Info("request or attempt failed: " + e.Code.String())
 }
