Send bodies where the link is free

Cause: requests were placed by the slots of the backend servers alone. The fastest ones got most uploads, and the links of their VMs (10 Mbit/s) filled up. Class: a choice by one resource while another one is exhausted; the delay even made these nodes look idle.

Each node now measures the use of its link and how late it reads the requests of others, and reports both with its load. A body costs its transfer time over the square of the free share of the link; the own backend server, which needs no link, is always compared.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -23,6 +23,11 @@
 	// share of it for one that fails that share. It is about what a failed
 	// request costs its caller, who comes back after a second.
 	failureCost = 2 * time.Second
+	// unknownBodyBytes is assumed for a body of unknown length.
+	unknownBodyBytes = 64 << 10
+	// maxLinkShare bounds the share of a link in use for which the transfer of
+	// a body is estimated, because shares are averages of the last second.
+	maxLinkShare = 0.9
 	// unreachableCost is added for a peer that recently could not be reached,
 	// and for one that is stopping.
 	unreachableCost = time.Second
@@ -30,6 +35,9 @@
 
 // RequestInfo describes the request for which a backend server is chosen.
 type RequestInfo struct {
+	// Node is the node that chooses. A request to its own backend server uses no
+	// link.
+	Node       core.NodeID
 	Service    core.Service
 	DataCentre core.DataCentre
 	// BodyBytes is the length of the body, or core.UnknownLength.
@@ -39,7 +47,7 @@
 }
 
 // ChoosePeer returns the peer whose backend server should answer soonest among
-// a random sample, or nil if none is usable. Sampling keeps many nodes with
+// a random sample and the own one, or nil if none is usable. Sampling keeps many nodes with
 // reports of the same age from choosing the same peer. seed is a random number.
 func ChoosePeer(now clock.Instant, snapshot *fleet.Snapshot, req RequestInfo, seed uint64) *fleet.Peer {
 	candidates := make([]candidate, 0, len(snapshot.ByService[req.Service]))
@@ -53,15 +61,24 @@
 	}
 	var best *fleet.Peer
 	var lowestCost time.Duration
+	compare := func(p *fleet.Peer) {
+		if c := estimateCost(now, p, req); best == nil || c < lowestCost {
+			best, lowestCost = p, c
+		}
+	}
+	for i, c := range candidates {
+		if c.peer.Node == req.Node {
+			compare(c.peer)
+			totalWeight -= c.weight
+			candidates[i].weight = 0
+		}
+	}
 	rnd := rand.New(rand.NewPCG(seed, seed))
-	for range min(sampleSize, len(candidates)) {
+	for range min(sampleSizeFor(req), len(candidates)) {
 		index := drawCandidate(candidates, rnd.Float64()*totalWeight)
-		p := candidates[index].peer
 		totalWeight -= candidates[index].weight
 		candidates[index].weight = 0
-		if c := estimateCost(now, p, req); best == nil || c < lowestCost {
-			best, lowestCost = p, c
-		}
+		compare(candidates[index].peer)
 	}
 	return best
 }
@@ -71,6 +88,22 @@
 // most three times its share before its next report.
 const sampleSize = 3
 
+// bodySampleSize is the number of backend servers that are compared for a large
+// body. A link's share is an average of the last second; more comparisons send
+// so many bodies to the emptiest link that it is full before its next report.
+const bodySampleSize = 2
+
+// largeBodyBytes is the size from which a body counts as large: with 10 Mbit/s
+// its transfer takes 7 ms.
+const largeBodyBytes = 8 << 10
+
+func sampleSizeFor(req RequestInfo) int {
+	if req.BodyBytes < 0 || req.BodyBytes >= largeBodyBytes {
+		return bodySampleSize
+	}
+	return sampleSize
+}
+
 type candidate struct {
 	peer   *fleet.Peer
 	weight float64
@@ -131,6 +164,9 @@
 	if p.DataCentre != req.DataCentre {
 		cost += min(crossDataCentreCost+time.Duration(max(0, req.BodyBytes)/1024)*crossDataCentreCostPerKB, maxCrossDataCentreCost)
 	}
+	if p.Node != req.Node {
+		cost += linkCost(p, req)
+	}
 	cost += time.Duration(float64(failureCost) * p.Load.FailedShare())
 	if p.Load.RecentlyUnreachable(now) {
 		cost += unreachableCost
@@ -140,3 +176,22 @@
 	}
 	return cost
 }
+
+// linkCost returns the delay before the peer's node reads a request, and the
+// time in which its link carries the body. All that passes the link waits for
+// that body: the square of the free share also counts the delay of the others,
+// so that bodies keep off a link long before it is full.
+func linkCost(p *fleet.Peer, req RequestInfo) time.Duration {
+	cost := p.Load.ReadDelay()
+	if p.LinkMbps <= 0 || req.BodyBytes == 0 {
+		return cost
+	}
+	bytes := req.BodyBytes
+	if bytes < 0 {
+		bytes = unknownBodyBytes
+	}
+	const bytesPerMegabit = 1e6 / 8
+	transfer := float64(bytes) / (p.LinkMbps * bytesPerMegabit) * float64(time.Second)
+	free := 1 - min(p.Load.LinkShare(), maxLinkShare)
+	return cost + time.Duration(transfer/(free*free))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,8 @@
 	// CPUCores is the processor time that the VM has, in cores. It may be a
 	// fraction.
 	CPUCores float64 `json:"power,omitempty"`
+	// LinkMbps is the capacity of the VM's link in Mbit/s, or 0 if unknown.
+	LinkMbps float64 `json:"link,omitempty"`
 	// Serial increases with each change within an incarnation.
 	Serial   uint64 `json:"serial"`
 	Instance string `json:"instance"`
@@ -73,6 +75,9 @@
 	MeanServiceMicros int64 `json:"s"`
 	// FailedShare is as in Usage.
 	FailedShare float64 `json:"f,omitempty"`
+	// LinkShare and ReadDelayMicros are as in Usage.
+	LinkShare       float64 `json:"l,omitempty"`
+	ReadDelayMicros int64   `json:"d,omitempty"`
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion uint64 `json:"c"`
 	// TableVersions are the versions of the key tables that the node has.
@@ -191,7 +196,10 @@
 	}
 	n.lastBeaconAt = now
 	n.configVersion, n.tableVersions, n.unconfirmedMs = b.ConfigVersion, b.TableVersions, b.UnconfirmedMs
-	n.load.SetUsage(Usage{b.Running, b.Waiting, time.Duration(b.MeanServiceMicros) * time.Microsecond, b.FailedShare})
+	n.load.SetUsage(Usage{
+		Running: b.Running, Waiting: b.Waiting, MeanServiceTime: time.Duration(b.MeanServiceMicros) * time.Microsecond,
+		FailedShare: b.FailedShare, LinkShare: b.LinkShare, ReadDelay: time.Duration(b.ReadDelayMicros) * time.Microsecond,
+	})
 }
 
 // UpdateLiveness updates which nodes are alive from the age of their last
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -18,14 +18,21 @@
 	// FailedShare is the share of the latest requests that the backend server
 	// failed, from 0 to 1.
 	FailedShare float64
+	// LinkShare is the share of the capacity of the VM's link that is in use, in
+	// the busier direction.
+	LinkShare float64
+	// ReadDelay is how long requests of other nodes wait on the way and in the
+	// sockets of the node before it reads them, on average.
+	ReadDelay time.Duration
 }
 
 // Load is the load of a peer: what the peer reported, and what this node saw of
 // it. It is safe for concurrent use.
 type Load struct {
 	running, waiting, meanServiceMicros atomic.Int64
-	// failedShareBits are the bits of a float64.
-	failedShareBits atomic.Uint64
+	// failedShareBits and linkShareBits are the bits of a float64.
+	failedShareBits, linkShareBits atomic.Uint64
+	readDelayMicros                atomic.Int64
 	// InFlight counts this node's own requests to the peer that are not
 	// answered yet.
 	InFlight atomic.Int64
@@ -39,6 +46,8 @@
 	l.running.Store(int64(u.Running))
 	l.waiting.Store(int64(u.Waiting))
 	l.failedShareBits.Store(math.Float64bits(u.FailedShare))
+	l.linkShareBits.Store(math.Float64bits(u.LinkShare))
+	l.readDelayMicros.Store(u.ReadDelay.Microseconds())
 	if u.MeanServiceTime > 0 {
 		l.meanServiceMicros.Store(u.MeanServiceTime.Microseconds())
 	}
@@ -51,6 +60,14 @@
 // failed, from 0 to 1.
 func (l *Load) FailedShare() float64 { return math.Float64frombits(l.failedShareBits.Load()) }
 
+// LinkShare returns the reported share of the link's capacity in use.
+func (l *Load) LinkShare() float64 { return math.Float64frombits(l.linkShareBits.Load()) }
+
+// ReadDelay returns the reported mean delay of requests before they are read.
+func (l *Load) ReadDelay() time.Duration {
+	return time.Duration(l.readDelayMicros.Load()) * time.Microsecond
+}
+
 // MeanServiceTime returns the reported mean service time, or
 // defaultServiceTime before the first.
 func (l *Load) MeanServiceTime() time.Duration {
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"marjoramshore.example/core"
 )
 
 // callerConn is a connection of a caller. busy is set while a request is
@@ -26,10 +28,18 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.busy.Store(true)
+		c.listener.meter.CountRead(n)
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.listener.meter.CountWritten(n)
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	if c.closed.Swap(true) {
@@ -83,6 +93,7 @@
 	net.Listener
 	maxConns      int64
 	headerTimeout time.Duration
+	meter         *core.ByteMeter
 	conns         sync.Map // keys are *callerConn; at most maxConns
 	openConns     atomic.Int64
 	refusedConns  atomic.Uint64
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -54,6 +54,8 @@
 	// BodyIdleTimeout limits one read of a request body and one write of a
 	// response. The default is 30 s.
 	BodyIdleTimeout time.Duration
+	// Meter counts the bytes of the connections; it may be nil.
+	Meter *core.ByteMeter
 	// MinBodyRate is the minimum rate of an upload in bytes per second. It is
 	// averaged over the time spent waiting for the caller and applies once that
 	// time reaches 10 s. The default is 1024.
@@ -146,6 +148,7 @@
 	}
 	f := &Frontend{cfg: cfg, watchPool: pool, serveEnded: make(chan struct{})}
 	f.listener = newListener(ln, cfg.MaxConns, cfg.HeaderTimeout)
+	f.listener.meter = cfg.Meter
 	f.hertz = server.New(f.hertzOptions()...)
 	f.hertz.NoRoute(f.handle)
 	return f, nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -66,6 +66,8 @@
 	BufferSize int
 	// MaxHeaderBytes bounds the head of a response; default 64 KiB.
 	MaxHeaderBytes int64
+	// Meter counts the bytes of the connections; it may be nil.
+	Meter *core.ByteMeter
 }
 
 func (c Config) withDefaults() Config {
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -28,19 +28,23 @@
 	// headBytesLeft is the number of bytes that may still be read of a response
 	// head, or -1 while no head is expected.
 	headBytesLeft int64
+	meter         *core.ByteMeter
 }
 
 // Read implements io.Reader. It fails with HeadTooLargeError when a response
 // head exceeds its limit.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headBytesLeft < 0 {
-		return c.Conn.Read(p)
+		n, err := c.Conn.Read(p)
+		c.meter.CountRead(n)
+		return n, err
 	}
 	if c.headBytesLeft == 0 {
 		return 0, &HeadTooLargeError{}
 	}
 	n, err := c.Conn.Read(p[:min(int64(len(p)), c.headBytesLeft)])
 	c.headBytesLeft -= int64(n)
+	c.meter.CountRead(n)
 	return n, err
 }
 
@@ -49,6 +53,7 @@
 	c.writeStarted.Store(true)
 	n, err := c.Conn.Write(p)
 	c.bytesWritten.Add(int64(n))
+	c.meter.CountWritten(n)
 	return n, err
 }
 
@@ -115,7 +120,7 @@
 		return nil, core.Wrap(core.CodeBackendDown, err, "connect to backend server")
 	}
 	p.counts.dialed.Add(1)
-	c := &conn{Conn: tcpConn, headBytesLeft: -1}
+	c := &conn{Conn: tcpConn, headBytesLeft: -1, meter: p.cfg.Meter}
 	c.br = bufio.NewReaderSize(c, p.cfg.BufferSize)
 	c.bw = bufio.NewWriterSize(c, p.cfg.BufferSize)
 	return c, nil
--- a/peers/delay.go
+++ b/peers/delay.go
@@ -29,6 +29,8 @@
 	clock           clock.Clock
 	offsetsBySender sync.Map // of *clockOffsets by core.Incarnation; entries are never removed
 	lateRequests    atomic.Int64
+	requests        atomic.Int64
+	delaySum        atomic.Int64 // nanoseconds
 }
 
 // NewDelayEstimator returns an estimator without samples.
@@ -38,6 +40,12 @@
 // minDelay.
 func (d *DelayEstimator) LateRequests() int64 { return d.lateRequests.Load() }
 
+// Totals returns the number of requests so far and the sum of their delays,
+// those below minDelay included.
+func (d *DelayEstimator) Totals() (requests int64, sum time.Duration) {
+	return d.requests.Load(), time.Duration(d.delaySum.Load())
+}
+
 // clockOffsets holds the smallest differences, in nanoseconds, between the
 // times of reading and sending in the current window and in the previous one.
 // window is the number of the current one.
@@ -61,6 +69,8 @@
 		v, _ = d.offsetsBySender.LoadOrStore(sender, first)
 	}
 	delay := time.Duration(offset - v.(*clockOffsets).addSample(windowNumber(now), offset))
+	d.requests.Add(1)
+	d.delaySum.Add(int64(delay))
 	if delay < minDelay {
 		return 0
 	}
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -45,8 +45,10 @@
 	// hopTiming tells how long a failed request waited before it was read, and
 	// how long it was at the node, both in microseconds.
 	hopTiming = "Marjoram-Hop-Timing"
-	// hopLoad holds the backend server's usage: running and waiting requests,
-	// mean service time in microseconds, and failed requests per mille.
+	// hopLoad holds the node's usage: running and waiting requests of the
+	// backend server, mean service time in microseconds, failed requests per
+	// mille, share of the link in use per mille, and mean delay of requests
+	// before they are read in microseconds.
 	hopLoad = "Marjoram-Hop-Load"
 	// hopSender is the incarnation of the sending process, and hopSentAt the
 	// time of sending on its clock, in nanoseconds.
@@ -188,13 +190,15 @@
 	return append(out, core.Field{Name: hopLoad, Value: i.encodeLoad()})
 }
 
-// faultScale converts the share of failed requests to the per mille of hopLoad.
-const faultScale = 1000
+// perMille converts a share to the unit of hopLoad.
+const perMille = 1000
 
 func (i InboundDialect) encodeLoad() string {
 	u := i.LoadSource.Load()
-	return strconv.Itoa(u.Running) + "," + strconv.Itoa(u.Waiting) + "," +
-		strconv.FormatInt(u.MeanServiceTime.Microseconds(), 10) + "," + strconv.Itoa(int(faultScale*u.FailedShare))
+	return strings.Join([]string{
+		strconv.Itoa(u.Running), strconv.Itoa(u.Waiting), encodeMicros(u.MeanServiceTime), strconv.Itoa(int(perMille * u.FailedShare)),
+		strconv.Itoa(int(perMille * u.LinkShare)), encodeMicros(u.ReadDelay),
+	}, ",")
 }
 
 // Sender identifies the sending process and its clock to other nodes, which
@@ -302,13 +306,17 @@
 	return time.Duration(n) * time.Microsecond
 }
 
+// oldLoadValues is the number of values in hopLoad of a build that does not
+// measure its link.
+const oldLoadValues = 4
+
 // decodeLoad decodes the value of hopLoad. It returns nil when it is malformed.
 func decodeLoad(text string) *fleet.Usage {
 	values := strings.Split(text, ",")
-	if len(values) != 4 {
+	var numbers [6]int
+	if len(values) < oldLoadValues || len(values) > len(numbers) {
 		return nil
 	}
-	var numbers [4]int
 	for i, value := range values {
 		v, err := strconv.Atoi(value)
 		if err != nil {
@@ -317,6 +325,7 @@
 		numbers[i] = v
 	}
 	return &fleet.Usage{
-		Running: numbers[0], Waiting: numbers[1], MeanServiceTime: time.Duration(numbers[2]) * time.Microsecond, FailedShare: float64(numbers[3]) / faultScale,
+		Running: numbers[0], Waiting: numbers[1], MeanServiceTime: time.Duration(numbers[2]) * time.Microsecond, FailedShare: float64(numbers[3]) / perMille,
+		LinkShare: float64(numbers[4]) / perMille, ReadDelay: time.Duration(numbers[5]) * time.Microsecond,
 	}
 }
--- a/peers/link.go
+++ b/peers/link.go
@@ -40,11 +40,11 @@
 }
 
 // NewLink returns a link from the sender to the node at its inbound address,
-// host:port.
-func NewLink(address string, sender Sender) (*Link, error) {
+// host:port. The meter counts its bytes and may be nil.
+func NewLink(address string, sender Sender, meter *core.ByteMeter) (*Link, error) {
 	g, err := gate.New(gate.Config{
 		BackendAddr: address, Dialect: outboundDialect{sender}, TCPUserTimeout: linkUnackedTimeout, BufferSize: linkBufferBytes,
-		MaxConns: linkMaxConns, ConnWait: linkConnWait, DialTimeout: linkDialTimeout, IdleTimeout: linkIdleTimeout,
+		MaxConns: linkMaxConns, ConnWait: linkConnWait, DialTimeout: linkDialTimeout, IdleTimeout: linkIdleTimeout, Meter: meter,
 	})
 	if err != nil {
 		return nil, err
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -24,7 +24,7 @@
 
 // Load implements LoadSource.
 func (fixedUsage) Load() fleet.Usage {
-	return fleet.Usage{Running: 7, Waiting: 3, MeanServiceTime: 40 * time.Millisecond, FailedShare: 0.25}
+	return fleet.Usage{Running: 7, Waiting: 3, MeanServiceTime: 40 * time.Millisecond, FailedShare: 0.25, LinkShare: 0.5, ReadDelay: 3 * time.Millisecond}
 }
 
 // startPeer runs h as another node and returns a link to it.
@@ -33,7 +33,7 @@
 	must.NoError(t, err)
 	f.Start()
 	t.Cleanup(func() { must.NoError(t, f.Close()) })
-	l, err := NewLink(f.Addr(), newSender())
+	l, err := NewLink(f.Addr(), newSender(), nil)
 	must.NoError(t, err)
 	return l
 }
@@ -72,6 +72,8 @@
 	must.Between(t, -100*time.Millisecond, got.Deadline.Sub(want.Deadline), 100*time.Millisecond)
 	must.Between(t, -100*time.Millisecond, got.TargetTime.Sub(want.TargetTime), 100*time.Millisecond)
 	must.Eq(t, 0.25, load.FailedShare())
+	must.Eq(t, 0.5, load.LinkShare())
+	must.Eq(t, 3*time.Millisecond, load.ReadDelay())
 	running, waiting := load.RequestCounts()
 	must.Eq(t, []int64{7, 3}, []int64{running, waiting})
 	must.Eq(t, 0, load.InFlight.Load())
@@ -108,7 +110,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	must.NoError(t, ln.Close())
-	l, err := NewLink(ln.Addr().String(), newSender())
+	l, err := NewLink(ln.Addr().String(), newSender(), nil)
 	must.NoError(t, err)
 	var load fleet.Load
 	clk := clock.NewReal()
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -63,12 +63,12 @@
 	return fleet.Entry{
 		Node: s.Node, Incarnation: incarnation, StartedUnixMs: time.Now().UnixMilli(), DataCentre: s.DataCentre,
 		InboundAddress: net.JoinHostPort(host, inbound), PeerAddress: net.JoinHostPort(ip, strconv.Itoa(s.FirstPeerPort)), Service: s.Service, Serial: 1,
-		CPUCores: s.CPUCores,
+		CPUCores: s.CPUCores, LinkMbps: s.LinkMbps,
 	}, nil
 }
 
 // addressEntry returns the part of an entry that is kept in the store. The other
 // fields change with every run and are sent by beacons.
 func addressEntry(e fleet.Entry) fleet.Entry {
-	return fleet.Entry{Node: e.Node, DataCentre: e.DataCentre, InboundAddress: e.InboundAddress, PeerAddress: e.PeerAddress, Service: e.Service, CPUCores: e.CPUCores}
+	return fleet.Entry{Node: e.Node, DataCentre: e.DataCentre, InboundAddress: e.InboundAddress, PeerAddress: e.PeerAddress, Service: e.Service, CPUCores: e.CPUCores, LinkMbps: e.LinkMbps}
 }
--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -57,7 +57,7 @@
 	if link, ok := l.byAddress.Load(address); ok {
 		return link.(*peerLink), nil
 	}
-	link, err := peers.NewLink(address, peers.Sender{Incarnation: l.node.self.Incarnation, Clock: l.node.clock})
+	link, err := peers.NewLink(address, peers.Sender{Incarnation: l.node.self.Incarnation, Clock: l.node.clock}, &l.node.linkMeter)
 	if err != nil {
 		return nil, err
 	}
--- a/sidecar/loadlog.go
+++ b/sidecar/load.go
@@ -2,25 +2,45 @@
 
 import (
 	"context"
+	"math"
 	"syscall"
 	"time"
 
 	"github.com/apex/log"
+
+	"marjoramshore.example/fleet"
 )
 
 const (
 	// loadLogInterval is the time between two lines on the load of the node.
 	loadLogInterval = 2 * time.Second
-	// loadTick is the interval of the timer whose delay is measured.
+	// loadTick is the interval at which the link is measured, and of the timer
+	// whose delay is logged.
 	loadTick = 100 * time.Millisecond
 )
 
-// loadLogger logs the load of the node: what its process and its backend server
-// did since the last line. A process without processor time shows as a late
-// timer, a full link as requests that are read late by a process whose timers
-// are on time.
-type loadLogger struct {
+// linkUsage is the published measurement of the link.
+type linkUsage struct {
+	share     float64
+	readDelay time.Duration
+}
+
+// Load returns the load of the node and of its backend server. It implements
+// peers.LoadSource.
+func (n *Node) Load() fleet.Usage {
+	u := n.backend.Load()
+	link := n.linkUsage.Load()
+	u.LinkShare, u.ReadDelay = link.share, link.readDelay
+	return u
+}
+
+// loadMeter measures the link and logs the load of the node: what its process
+// and its backend server did since the last line. A process without processor
+// time shows as a late timer, a full link as requests that are read late by a
+// process whose timers are on time.
+type loadMeter struct {
 	node      *Node
+	link      *fleet.LinkMonitor
 	maxLate   time.Duration // of the timer, since the last line
 	cpu       time.Duration // used by the process until the last line
 	offered   int64
@@ -30,9 +50,10 @@
 	exchanges uint64
 }
 
-// logLoad logs the load of the node while it serves requests.
-func (n *Node) logLoad(ctx context.Context) {
-	l := &loadLogger{node: n}
+// measureLoad publishes the usage of the link, and logs the load of the node
+// while it serves requests.
+func (n *Node) measureLoad(ctx context.Context) {
+	l := &loadMeter{node: n, link: fleet.NewLinkMonitor(n.clock.Now(), n.self.LinkMbps)}
 	t := time.NewTicker(loadTick)
 	defer t.Stop()
 	expected := time.Now().Add(loadTick)
@@ -43,6 +64,7 @@
 			return
 		case <-t.C:
 		}
+		l.publishLink()
 		now := time.Now()
 		l.maxLate = max(l.maxLate, now.Sub(expected))
 		expected = now.Add(loadTick)
@@ -53,13 +75,26 @@
 	}
 }
 
-func (l *loadLogger) logLine() {
+func (l *loadMeter) publishLink() {
+	var c fleet.LinkCounters
+	c.BytesRead, c.BytesWritten = l.node.linkMeter.Totals()
+	c.Hops, c.HopDelay = l.node.delays.Totals()
+	l.link.Update(l.node.clock.Now(), c)
+	// Two decimals keep the beacons short.
+	u := linkUsage{math.Round(percent*l.link.LinkShare()) / percent, l.link.ReadDelay()}
+	if *l.node.linkUsage.Load() != u {
+		l.node.linkUsage.Store(&u)
+	}
+}
+
+func (l *loadMeter) logLine() {
 	n := l.node
 	counts, out, in := n.backend.Counts(), n.outbound.Stats(), n.inbound.Stats()
-	usage, lateHops, exchanges, cpu := n.backend.Load(), n.delays.LateRequests(), out.Exchanges+in.Exchanges, processTime()
+	usage, lateHops, exchanges, cpu := n.Load(), n.delays.LateRequests(), out.Exchanges+in.Exchanges, processTime()
 	if exchanges != l.exchanges {
 		n.log.WithFields(log.Fields{
-			"cpu_ms": (cpu - l.cpu).Milliseconds(), "timer_late_ms": l.maxLate.Milliseconds(), "hops_late": lateHops - l.lateHops,
+			"cpu_ms": (cpu - l.cpu).Milliseconds(), "timer_late_ms": l.maxLate.Milliseconds(),
+			"hops_late": lateHops - l.lateHops, "read_delay_ms": usage.ReadDelay.Milliseconds(), "link": int(percent * usage.LinkShare),
 			"exchanges": exchanges - l.exchanges, "callers": out.InFlight, "hops": in.InFlight,
 			"offered": counts.Offered - l.offered, "refused": counts.Refused - l.refused, "expired": counts.Expired - l.expired,
 			"running": usage.Running, "waiting": usage.Waiting, "service_ms": usage.MeanServiceTime.Milliseconds(),
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -75,6 +75,8 @@
 	peerClient    *peers.Client
 	beacons       *peers.BeaconSocket
 	delays        *peers.DelayEstimator
+	linkMeter     core.ByteMeter // bytes between this node and others
+	linkUsage     atomic.Pointer[linkUsage]
 	controllers   atomic.Pointer[map[core.Service]*keys.Controller]
 	newConfigs    chan routes.Config // holds only the newest configuration that is not handled yet
 	pendingTables sync.Map           // pendingTable by core.Service
@@ -114,6 +116,7 @@
 		metrics: newNodeMetrics(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
 	}
 	n.delays = peers.NewDelayEstimator(n.clock)
+	n.linkUsage.Store(&linkUsage{})
 	n.controllers.Store(&map[core.Service]*keys.Controller{})
 	if n.beacons, err = peers.ListenBeacons(net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort))); err != nil {
 		return nil, err
@@ -154,7 +157,8 @@
 	out, in := base, base
 	out.Addr, out.Handler, out.Dialect = s.CallerAddress, n.router, platform.CallerDialect{}
 	out.KeepAlive, in.IdleTimeout = callerKeepAlive, peerIdleTimeout
-	in.Addr, in.Handler, in.Dialect = s.InboundAddress, n.backend, peers.InboundDialect{LoadSource: n.backend, DelayEstimator: n.delays}
+	in.Addr, in.Handler, in.Dialect = s.InboundAddress, n.backend, peers.InboundDialect{LoadSource: n, DelayEstimator: n.delays}
+	in.Meter = &n.linkMeter
 	var err error
 	if n.outbound, err = frontend.New(out); err != nil {
 		return err
@@ -226,7 +230,7 @@
 	n.runLoop(n.pollConfig)
 	n.runLoop(n.syncObjects)
 	n.runLoop(n.watchSettings)
-	n.runLoop(n.logLoad)
+	n.runLoop(n.measureLoad)
 	return nil
 }
 
@@ -372,7 +376,7 @@
 
 // localStatus returns what the node's beacons report in addition to its entry.
 func (n *Node) localStatus() nodes.Status {
-	status := nodes.Status{Usage: n.backend.Load()}
+	status := nodes.Status{Usage: n.Load()}
 	if t := n.routes.Load(); t != nil {
 		status.ConfigVersion = t.Version
 	}
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -222,6 +222,7 @@
 	local := s.cfg.LocalStatus()
 	data, err := peers.EncodeBeacon(fleet.Beacon{
 		Entry: s.self, Running: local.Usage.Running, Waiting: local.Usage.Waiting, MeanServiceMicros: local.Usage.MeanServiceTime.Microseconds(),
+		LinkShare: local.Usage.LinkShare, ReadDelayMicros: local.Usage.ReadDelay.Microseconds(),
 		FailedShare: local.Usage.FailedShare, ConfigVersion: local.ConfigVersion, TableVersions: local.TableVersions, UnconfirmedMs: local.UnconfirmedMs,
 	})
 	if err != nil {
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -337,7 +337,7 @@
 		return q.findOwner(snapshot)
 	}
 	info := dispatch.RequestInfo{
-		Service: q.req.Service, DataCentre: q.cfg.DataCentre, BodyBytes: q.req.Length, Tried: q.triedNodes,
+		Node: q.cfg.Node, Service: q.req.Service, DataCentre: q.cfg.DataCentre, BodyBytes: q.req.Length, Tried: q.triedNodes,
 	}
 	now := q.cfg.Clock.Now()
 	p := dispatch.ChoosePeer(now, snapshot, info, rand.Uint64())
