frontend: answer a request that arrived before a stop closed its connection

Callers of a stopping node lost requests: on a node that gets little processor time, a request on a kept connection lay unread in the socket when the stop closed the connection as idle, and the caller saw a reset. A request of which the bytes had just been taken from the socket could be lost the same way, before the connection was marked as busy.

Cause: the stop decided from another goroutine whether a connection is idle. Class: check, then act, on state that another goroutine changes.

Only the goroutine that reads a connection closes it now. A stop ends its wait with a read deadline in the past; bytes that have arrived by then are still read, and the request is answered. The same holds for the idle timeout.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,9 +24,15 @@
 }
 
 // Read implements net.Conn. The first byte of a request marks the connection as
-// busy until the response has been sent.
+// busy until the response has been sent. A deadline ends only the wait for it:
+// bytes that have arrived by then are returned.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if !c.busy.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		if arrived := c.readArrived(p); arrived > 0 {
+			n, err = arrived, nil
+		}
+	}
 	if n > 0 {
 		c.busy.Store(true)
 		c.listener.meter.CountRead(n)
@@ -54,21 +61,65 @@
 // request was read. This happens to connections that wait long in the accept
 // queue.
 func (c *callerConn) closedByCaller() bool {
+	n, err := c.peek()
+	return n == 0 && err == nil || errors.Is(err, net.ErrClosed)
+}
+
+// peek looks at the first byte that has arrived, without taking or waiting for
+// it. It returns 0 and nil if the caller closed the connection.
+func (c *callerConn) peek() (int, error) {
+	var b [1]byte
+	return c.receive(b[:], syscall.MSG_PEEK)
+}
+
+// readArrived reads what has arrived, without waiting and regardless of the
+// read deadline. It returns 0 if there is nothing.
+func (c *callerConn) readArrived(p []byte) int {
+	n, err := c.receive(p, 0)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (c *callerConn) receive(p []byte, flags int) (int, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EOPNOTSUPP
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true // already closed
+		return 0, net.ErrClosed
 	}
-	closed := false
+	var n int
+	var recvErr error
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && rerr == nil
+		n, _, recvErr = syscall.Recvfrom(int(fd), p, flags|syscall.MSG_DONTWAIT)
 	})
-	return err != nil || closed
+	if err != nil {
+		return 0, net.ErrClosed
+	}
+	return n, recvErr
+}
+
+// SetReadDeadline implements net.Conn. Once the listener drains, a connection
+// waits for no further request.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.listener.draining.Load() {
+		c.endWait()
+	}
+	return err
+}
+
+// endWait ends the wait for a request on a connection that is not busy. The
+// goroutine that reads it then closes it, or serves a request that arrived
+// meanwhile: only that goroutine can tell.
+func (c *callerConn) endWait() {
+	if !c.busy.Load() {
+		// Fails only on a closed connection.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // reset closes the connection with a TCP reset. A response whose end is marked
@@ -96,6 +147,7 @@
 	meter         *core.ByteMeter
 	conns         sync.Map // keys are *callerConn; at most maxConns
 	openConns     atomic.Int64
+	draining      atomic.Bool
 	refusedConns  atomic.Uint64
 	connClosed    chan struct{} // holds a token after a connection was closed
 }
@@ -155,22 +207,18 @@
 }
 
 // drain closes connections as they become idle, until none is left or ctx ends.
+// A request that has arrived on an idle connection is still read and answered.
 func (l *listener) drain(ctx context.Context) error {
-	for {
-		l.forEachConn(func(c *callerConn) {
-			if !c.busy.Load() {
-				_ = c.Close()
-			}
-		})
-		if l.openConns.Load() == 0 {
-			return nil
-		}
+	l.draining.Store(true)
+	l.forEachConn((*callerConn).endWait)
+	for l.openConns.Load() > 0 {
 		select {
 		case <-l.connClosed:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
+	return nil
 }
 
 func (l *listener) forEachConn(f func(*callerConn)) {
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -139,8 +139,8 @@
 		x.closeLingering()
 	default:
 		x.conn.busy.Store(x.rc.GetConn().Len() > 0) // the next request may be buffered
-		if x.frontend.draining.Load() {
-			_ = x.conn.Close()
+		if x.conn.listener.draining.Load() {
+			x.conn.endWait()
 		}
 	}
 }
