slotqueue: start requests of one priority in the order of their targets

Calls of backend servers with a target of 400 ms were refused as queue-full while uploads of the same priority, which may wait 1.1 s, filled the queue before them; a refused call fails the request that made it. Waiting requests of one priority now start in the order of their target times, and the expected wait follows that order.

TestShortTargetStartsBeforeLongOne failed before: the call was refused.

--- a/slotqueue/queue.go
+++ b/slotqueue/queue.go
@@ -1,6 +1,7 @@
 package slotqueue
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -136,12 +137,29 @@
 	return Decision{Verdict: Wait, ExpectedWait: wait}
 }
 
-// compareTickets orders tickets by priority, then by arrival.
+// compareTickets orders tickets by priority, then by the instant at which they
+// should be answered, then by arrival. In order of arrival, requests with a late
+// target would make those with an early one wait until they are refused.
 func compareTickets(a, b *Ticket) int {
 	if a.Priority != b.Priority {
 		return a.Priority - b.Priority
 	}
-	return int(a.arrivalOrder) - int(b.arrivalOrder)
+	if d := cmp.Compare(a.dueAt(), b.dueAt()); d != 0 {
+		return d
+	}
+	return cmp.Compare(a.arrivalOrder, b.arrivalOrder)
+}
+
+// dueAt returns the target time, or the deadline of a ticket that arrived after
+// its target. A ticket without either is due when it arrives.
+func (t *Ticket) dueAt() clock.Instant {
+	switch {
+	case t.TargetTime > t.arrivedAt:
+		return t.TargetTime
+	case t.Deadline != 0:
+		return t.Deadline
+	}
+	return t.arrivedAt
 }
 
 // refuseIfFullOrLate returns a refusal and true if the queue is full, or if a
--- a/slotqueue/queue_test.go
+++ b/slotqueue/queue_test.go
@@ -58,6 +58,24 @@
 	must.Eq(t, []*Ticket{low}, q.Done(startTime, second, true))
 }
 
+// Guards against calls with a short target that are refused because requests
+// with a long one arrived first and can wait.
+func TestShortTargetStartsBeforeLongOne(t *testing.T) {
+	q := newOpenQueue(1)
+	first := &Ticket{Class: "upload"}
+	must.Eq(t, Admit, q.Offer(startTime, first).Verdict)
+	var uploads []*Ticket
+	for range 8 {
+		x := &Ticket{Class: "upload", Priority: 1, TargetTime: startTime.Add(1500 * time.Millisecond)}
+		must.Eq(t, Wait, q.Offer(startTime, x).Verdict)
+		uploads = append(uploads, x)
+	}
+	call := &Ticket{Class: "call", Priority: 1, TargetTime: startTime.Add(400 * time.Millisecond)}
+	must.Eq(t, Wait, q.Offer(startTime, call).Verdict)
+	must.Eq(t, []*Ticket{call}, q.Done(startTime.Add(50*time.Millisecond), first, true))
+	must.Eq(t, []*Ticket{uploads[0]}, q.Done(startTime.Add(100*time.Millisecond), call, true))
+}
+
 // Guards against queueing a request whose response would be late, and against a
 // refusal without RetryAfter.
 func TestRefuseLateRequests(t *testing.T) {
