router: count slow attempts as part of the wait for a key's owner

A request whose key changes owners may wait a quarter of its target, and is then refused with a Retry-After.

Cause: only the pauses between attempts counted, not the attempts, of which each took 250 ms behind a slow link. Class: a bound on time that leaves out a part of the time.

The wait now counts from the first attempt that found no owner. TestOwnerWaitCountsSlowAttempts failed before: 4 attempts of 100 ms within a wait of 100 ms.

--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -134,8 +134,11 @@
 	arrivals int
 	refusals int
 	// mayHaveRun is set once an attempt failed with an unknown outcome.
-	mayHaveRun       bool
-	attempts         int
+	mayHaveRun bool
+	attempts   int
+	// ownerWaitStart is when an attempt first found no owner, or zero. waited
+	// counts from there, the time of later attempts included.
+	ownerWaitStart   time.Time
 	waited           time.Duration
 	peer             *fleet.Peer
 	keyTableRevision uint64
@@ -238,7 +241,7 @@
 		case dispatch.TryOtherBackend:
 			q.refusals++
 		case dispatch.WaitForOwner:
-			if q.waited == 0 {
+			if q.startOwnerWait() {
 				q.logFailure(e)
 			}
 			if !q.waitForOwner(ctx) {
@@ -274,6 +277,9 @@
 		q.arrivals++
 	}
 	q.mayHaveRun = q.mayHaveRun || !e.Code.NotRun()
+	if !q.ownerWaitStart.IsZero() {
+		q.waited = time.Since(q.ownerWaitStart)
+	}
 	return dispatch.FailedAttempt{
 		Err: e, Keyed: q.keyed, Idempotent: q.req.Idempotent, BodyConsumed: q.bodyConsumed,
 		Arrivals: q.arrivals, MaxArrivals: q.route.MaxAttempts, Refusals: q.refusals,
@@ -281,13 +287,21 @@
 	}
 }
 
+// startOwnerWait notes when the request began to wait for an owner. It returns
+// false if it waits already.
+func (q *request) startOwnerWait() bool {
+	if !q.ownerWaitStart.IsZero() {
+		return false
+	}
+	q.ownerWaitStart = time.Now()
+	return true
+}
+
 // waitForOwner waits for ownerPollInterval before the next lookup of the key's
 // owner. It returns false if ctx ends first.
 func (q *request) waitForOwner(ctx context.Context) bool {
 	t := time.NewTimer(ownerPollInterval)
 	defer t.Stop()
-	waitStart := time.Now()
-	defer func() { q.waited += time.Since(waitStart) }()
 	select {
 	case <-t.C:
 		return true
--- a/sidecar/router/router_test.go
+++ b/sidecar/router/router_test.go
@@ -27,6 +27,16 @@
 	nodes   []core.NodeID
 }
 
+// slowOwnerSender takes a while to say that the key has another owner.
+type slowOwnerSender struct{ attempts int }
+
+// Send implements Sender.
+func (s *slowOwnerSender) Send(context.Context, *fleet.Peer, *core.Request) (*core.Response, error) {
+	s.attempts++
+	time.Sleep(100 * time.Millisecond)
+	return nil, failure(core.CodeNotOwner)
+}
+
 // Send implements Sender.
 func (s *scriptedSender) Send(_ context.Context, p *fleet.Peer, req *core.Request) (*core.Response, error) {
 	body, err := io.ReadAll(req.Body)
@@ -48,8 +58,8 @@
 // not run.
 func nack(c core.Code) *core.Error { return &core.Error{Code: c, Detail: "fake", ReachedBackend: true} }
 
-// sendScripted sends one request through a router that sends its attempts to s.
-func sendScripted(t *testing.T, s *scriptedSender, kind routes.Kind, body string) (*core.Response, *core.Error) {
+// newRouter returns a router of a fleet of three nodes that sends to s.
+func newRouter(s Sender, kind routes.Kind, onEnd func(Summary)) *Router {
 	peers := make([]*fleet.Peer, 0, 3)
 	for _, id := range []string{"a", "b", "c"} {
 		peers = append(peers, &fleet.Peer{
@@ -64,18 +74,26 @@
 	budget := dispatch.NewRetryBudget(dispatch.RetryBudgetConfig{Ratio: 0.2, MinRetries: 60, Window: 10 * time.Second})
 	clk := clock.NewReal()
 	budget.Advance(clk.Now(), []core.Service{"s"}, 1)
-	requestEnds := 0
-	r := New(Config{
+	return New(Config{
 		Node: "x", Origin: "origin", Clock: clk, Log: &log.Logger{Handler: discard.Default}, Routes: &current,
 		FleetSnapshot: func() *fleet.Snapshot { return &fleet.Snapshot{ByService: map[core.Service][]*fleet.Peer{"s": peers}} },
 		KeyController: func(core.Service) *keys.Controller { return nil },
-		Budget:        budget, Sender: s, OnRequestEnd: func(Summary) { requestEnds++ },
+		Budget:        budget, Sender: s, OnRequestEnd: onEnd,
 	})
-	req := &core.Request{
+}
+
+func newRequest(body string) *core.Request {
+	return &core.Request{
 		ID: "id", Method: "POST", Path: "/x", Header: []core.Field{{Name: "Host", Value: "h"}},
 		Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
 	}
-	resp, err := r.Serve(context.Background(), req)
+}
+
+// sendScripted sends one request through a router that sends its attempts to s.
+func sendScripted(t *testing.T, s *scriptedSender, kind routes.Kind, body string) (*core.Response, *core.Error) {
+	requestEnds := 0
+	r := newRouter(s, kind, func(Summary) { requestEnds++ })
+	resp, err := r.Serve(context.Background(), newRequest(body))
 	must.Eq(t, 1, requestEnds)
 	if err != nil {
 		return nil, core.AsError(err)
@@ -141,3 +159,22 @@
 	must.True(t, e.Code.NotRun())
 	must.Positive(t, e.RetryAfter)
 }
+
+// Guards against a request that is held for seconds while it looks for the owner
+// of its key, because only the pauses between slow attempts count.
+func TestOwnerWaitCountsSlowAttempts(t *testing.T) {
+	s := &slowOwnerSender{}
+	r := newRouter(s, routes.Idempotent, func(Summary) {})
+	q := &request{Router: r, req: newRequest(""), started: time.Now()}
+	must.Nil(t, q.matchRoute())
+	q.keyed = true
+	for waiting := true; waiting; {
+		_, err := s.Send(t.Context(), nil, nil)
+		waiting = dispatch.DecideNext(q.recordFailure(core.AsError(err))) == dispatch.WaitForOwner
+		if waiting {
+			q.startOwnerWait()
+			must.True(t, q.waitForOwner(t.Context()))
+		}
+	}
+	must.LessEq(t, 3, s.attempts, must.Sprint("the target of 400 ms allows a wait of 100 ms"))
+}
