sidecar: answer every request in flight at the end of a stop

Cause: a stop gives the requests of callers 4.6 s and then those of other nodes up to 5.3 s. With none of the latter in flight the process ended at once, and whatever was left of the former was cut off. Class: a deadline that ends a wait without ending the work that was waited for.

The stop now waits for callers' requests until the end of its time. Those that no backend server has received fail at once where they would wait for an owner, and the rest is ended with an answer: as not run if nothing was sent, else with an unknown outcome.

TestStopAnswersRequestsThatRunTooLong failed before ('no answer at the end of the stop'); TestStopAnswersRequestsInFlight covers the router.

--- a/dispatch/repeat.go
+++ b/dispatch/repeat.go
@@ -39,6 +39,9 @@
 	// Waited is how long the request has waited for an owner so far, and
 	// MaxWait how long it may.
 	Waited, MaxWait time.Duration
+	// Stopping is set while the node stops. The request then gains nothing by
+	// waiting here: its caller finds another node.
+	Stopping bool
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
 }
@@ -73,7 +76,7 @@
 		return Retry
 	case a.Err.ReachedBackend:
 		return ReturnFailure
-	case a.Keyed && isTransient(a.Err.Code) && a.Waited < a.MaxWait:
+	case a.Keyed && isTransient(a.Err.Code) && !a.Stopping && a.Waited < a.MaxWait:
 		return WaitForOwner
 	case !a.Keyed && a.Refusals < maxRefusals:
 		return TryOtherBackend
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -94,6 +94,10 @@
 	// a Unix time.
 	logLines  atomic.Int64
 	logSecond atomic.Int64
+	// stop ends when EndRequests is called.
+	stop       context.Context
+	cancelStop context.CancelFunc
+	stopping   atomic.Bool
 }
 
 // maxLogLinesPerSecond bounds the failures that are logged each second. A line
@@ -111,7 +115,19 @@
 }
 
 // New returns a router.
-func New(cfg Config) *Router { return &Router{cfg: cfg} }
+func New(cfg Config) *Router {
+	r := &Router{cfg: cfg}
+	r.stop, r.cancelStop = context.WithCancel(context.Background())
+	return r
+}
+
+// EndWaits makes requests that no backend server has received fail at once where
+// they would wait or be tried again, because the node stops.
+func (r *Router) EndWaits() { r.stopping.Store(true) }
+
+// EndRequests ends the requests that still run, each with an answer: as not run
+// if it was not sent, with an unknown outcome otherwise.
+func (r *Router) EndRequests() { r.cancelStop() }
 
 // request is the state of a request that is being served.
 type request struct {
@@ -151,6 +167,7 @@
 		return nil, q.completeFailure(err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer context.AfterFunc(r.stop, cancel)()
 	resp, err := q.sendUntilDone(ctx)
 	if err != nil {
 		cancel()
@@ -235,6 +252,9 @@
 			return resp, nil
 		}
 		e := core.AsError(err)
+		if q.stop.Err() != nil {
+			return nil, &core.Error{Code: e.Code, Detail: "the node stops and ends the request", Cause: e}
+		}
 		switch dispatch.DecideNext(q.recordFailure(e)) {
 		case dispatch.ReturnFailure:
 			return nil, e
@@ -283,7 +303,7 @@
 	return dispatch.FailedAttempt{
 		Err: e, Keyed: q.keyed, Idempotent: q.req.Idempotent, BodyConsumed: q.bodyConsumed,
 		Arrivals: q.arrivals, MaxArrivals: q.route.MaxAttempts, Refusals: q.refusals,
-		Waited: q.waited, MaxWait: q.route.LatencyTarget / ownerWaitDivisor, TimeLeft: time.Until(q.req.Deadline),
+		Stopping: q.stopping.Load(), Waited: q.waited, MaxWait: q.route.LatencyTarget / ownerWaitDivisor, TimeLeft: time.Until(q.req.Deadline),
 	}
 }
 
--- a/sidecar/router/router_test.go
+++ b/sidecar/router/router_test.go
@@ -37,6 +37,16 @@
 	return nil, failure(core.CodeNotOwner)
 }
 
+// hungSender answers when the context ends.
+type hungSender struct{ started chan struct{} }
+
+// Send implements Sender.
+func (s hungSender) Send(ctx context.Context, _ *fleet.Peer, _ *core.Request) (*core.Response, error) {
+	s.started <- struct{}{}
+	<-ctx.Done()
+	return nil, core.Wrap(core.CodeUnknown, ctx.Err(), "fake")
+}
+
 // Send implements Sender.
 func (s *scriptedSender) Send(_ context.Context, p *fleet.Peer, req *core.Request) (*core.Response, error) {
 	body, err := io.ReadAll(req.Body)
@@ -178,3 +188,17 @@
 	}
 	must.LessEq(t, 3, s.attempts, must.Sprint("the target of 400 ms allows a wait of 100 ms"))
 }
+
+// Guards against a stop that cuts off requests without an answer.
+func TestStopAnswersRequestsInFlight(t *testing.T) {
+	s := hungSender{make(chan struct{})}
+	r := newRouter(s, routes.NonIdempotent, func(Summary) {})
+	done := make(chan error, 1)
+	go func() {
+		_, err := r.Serve(t.Context(), newRequest(""))
+		done <- err
+	}()
+	<-s.started
+	r.EndRequests()
+	must.Eq(t, core.CodeUnknown, core.CodeOf(<-done))
+}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -384,6 +384,31 @@
 	}
 }
 
+// Guards against a stop that ends with requests in flight to which it gives no
+// answer.
+func TestStopAnswersRequestsThatRunTooLong(t *testing.T) {
+	f := startFleetWith(t, func(_ int, s *platform.Settings) { s.Bounds.StopGracePeriod = 2 * time.Second }, "prices", "prices", "reports")
+	f.backends[2].SetFault(keyed.NeverAnswer)
+	answered := make(chan int, 1)
+	go func() {
+		resp, _, err := f.send(0, "POST", "/sheet/1", "long", -1, "body")
+		if err != nil {
+			answered <- 0
+			return
+		}
+		answered <- resp.StatusCode
+	}()
+	time.Sleep(200 * time.Millisecond)
+	f.nodes[0].Stop()
+	select {
+	case status := <-answered:
+		must.Eq(t, 502, status)
+	case <-time.After(200 * time.Millisecond):
+		t.Error("no answer at the end of the stop")
+	}
+	f.nodes = f.nodes[1:]
+}
+
 // Guards against a node that stays in the other nodes' view after its VM was
 // removed, and against one that is removed from it while it is alive.
 func TestRemovedNodeLeavesListing(t *testing.T) {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -32,6 +32,9 @@
 	// of other nodes in flight, once no new ones are taken.
 	inboundDrain     = 700 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
+	// answerTimeout bounds the time to answer the requests that a stop ends. It
+	// is a part of killMargin.
+	answerTimeout = 200 * time.Millisecond
 )
 
 // Stop stops the node gracefully. It first fails the readiness checks, so that
@@ -47,8 +50,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	n.drainCallers(ctx)
+	n.router.EndWaits()
 	n.shutDownFrontend(ctx, n.outbound, grace-inboundDrain)
 	n.shutDownFrontend(ctx, n.inbound, grace)
+	n.shutDownFrontend(ctx, n.outbound, grace)
+	n.endRequests()
 	n.peerLinks.close(ctx)
 	n.removeAddress()
 	n.log.WithFields(log.Fields{"cut": n.countInFlight()}).Info("node has stopped; requests still in flight are cut off")
@@ -70,6 +76,17 @@
 	}
 }
 
+// endRequests answers the callers' requests that are still in flight at the end
+// of a stop.
+func (n *Node) endRequests() {
+	n.router.EndRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	if err := n.outbound.Shutdown(ctx); err != nil {
+		n.log.WithError(err).WithField("running", n.outbound.Stats().InFlight).Warn("requests at the end of the stop not answered in time")
+	}
+}
+
 // countInFlight returns the number of requests of callers and other nodes in
 // flight.
 func (n *Node) countInFlight() int64 { return n.outbound.Stats().InFlight + n.inbound.Stats().InFlight }
