gate, platform: attribute each answer of a backend server to its request

A backend server that wrote an earlier refusal once more on a kept connection made the node tell callers "not run, try again" about requests that had run or were running, or send them to a second backend server.

Cause: BackendDialect accepted every answer with a status from 400 that lacked an attempt id, on any connection. And a request that was refused and sent again took the most recently used connection, mostly the one on which it had been refused, so that a repetition of the refusal carried the right id. Requests without an id accepted any answer without one. Class: an answer is taken for that of the request in flight because of where it arrives.

Now a dialect says what an answer names. One that names another request is skipped. One that names none counts only on a connection that has carried no other request; otherwise the outcome is unknown, at once, and the connection is closed. A connection remembers the ids of requests that were answered but may be sent again (refusals, 421, successes without a signature), and the pool gives such a request another connection. Requests without an id get a new connection. A success without an id ends the request at once instead of at its deadline.

The tests on the code before:

TestRepeatedRefusalWithoutIDLeavesOutcomeUnknown: no failure, status 503, want "unknown" (also for GET, 421, 429, 408, 400, 404 and 500) TestRepeatedRefusalDoesNotAnswerTheNextAttempt: class 1 (refused) with status 503, want the answer 200 TestRequestWithoutIDUsesNewConnection: status 400 of no request, want 200 TestSuccessWithoutIDLeavesOutcomeUnknownAtOnce: 5.001 s, want < 2 s

TestRepeatedAnswerToAnotherRequestIsDropped, TestRefusalWithoutIDOnNewConnectionCounts and TestRefusalKeepsTheConnectionForOtherRequests passed before; they guard what must stay. TestResponseMatchesAttemptID has one stricter expectation: a success without an id can be attributed to no request.

The metric backend_answers_stray counts these answers.

--- a/gate/encode.go
+++ b/gate/encode.go
@@ -72,8 +72,11 @@
 	return strings.HasPrefix(name, reservedPrefix) || name == HeaderIdempotencyKey
 }
 
-// IsResponseTo implements Dialect.
-func (nativeDialect) IsResponseTo(*core.Request, int, http.Header) bool { return true }
+// Attribute implements Dialect.
+func (nativeDialect) Attribute(*core.Request, http.Header, int, http.Header) Attribution { return Own }
+
+// MayResend implements Dialect. Every response of a backend server is final.
+func (nativeDialect) MayResend(int, http.Header) bool { return false }
 
 // AddRequestFields implements Dialect.
 func (nativeDialect) AddRequestFields(h http.Header, req *core.Request) {
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -20,22 +20,6 @@
 // small request holds no connection.
 const copyBufferSize = 32 << 10
 
-// HeadTooLargeError reports a response head above Config.MaxHeaderBytes.
-type HeadTooLargeError struct{}
-
-func (*HeadTooLargeError) Error() string { return "response head exceeds the configured limit" }
-
-// maxDiscardedBody bounds in bytes the body of a response to an earlier request
-// that is read to reach the next response. 256 KiB takes milliseconds on a
-// local link.
-const maxDiscardedBody = 256 << 10
-
-// StrayResponseError reports a response to an earlier request that leaves the
-// connection unusable.
-type StrayResponseError struct{}
-
-func (*StrayResponseError) Error() string { return "response belongs to an earlier request" }
-
 // exchange is the state of one request on one connection.
 type exchange struct {
 	gate          *Gate
@@ -47,6 +31,9 @@
 	detachContext func() bool // keeps the end of ctx from interrupting conn
 	// writeResult receives the result of writing the request, once.
 	writeResult chan error
+	// unmarked is set if the response names no request. A repetition of it would
+	// leave the outcome of the next request unknown.
+	unmarked bool
 	// bodyErr is the failure to read the request body, if any.
 	bodyErr atomic.Pointer[core.Error]
 }
@@ -77,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := g.pool.get(ctx)
+	c, err := g.pool.get(ctx, req.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -205,44 +192,6 @@
 	return n, err
 }
 
-// readHead reads the head of the final response and skips interim responses.
-func (x *exchange) readHead() (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(x.conn.br, x.httpReq)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= 200 {
-			if x.gate.cfg.Dialect.IsResponseTo(x.req, resp.StatusCode, resp.Header) {
-				return resp, nil
-			}
-			if err := x.discardResponse(resp); err != nil {
-				return nil, err
-			}
-			continue
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, core.Fail(core.CodeUnknown, "backend server switched protocols")
-		}
-	}
-}
-
-// discardResponse reads and drops a late response to an earlier request on the
-// connection.
-func (x *exchange) discardResponse(resp *http.Response) error {
-	x.gate.counts.lateResponses.Add(1)
-	x.conn.headBytesLeft = -1
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBody+1))
-	switch {
-	case err != nil:
-		return err
-	case n > maxDiscardedBody || resp.Close:
-		return &StrayResponseError{}
-	}
-	x.conn.headBytesLeft = x.gate.cfg.MaxHeaderBytes
-	return nil
-}
-
 // fail closes the connection and returns the failure of an exchange without a
 // response.
 func (x *exchange) fail(cause error) error {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,11 +31,32 @@
 	// AddSendTimeFields adds the fields that depend on the moment of sending.
 	// It is called right before the first byte is written.
 	AddSendTimeFields(h http.Header, req *core.Request, p Permit)
-	// IsResponseTo reports whether a response belongs to req. A backend server
-	// may send a second response to an earlier request on the connection.
-	IsResponseTo(req *core.Request, status int, h http.Header) bool
+	// Attribute says whether a response belongs to req, which was sent with the
+	// header fields sent. A faulty backend server may send a response once more,
+	// or one that belongs to no request.
+	Attribute(req *core.Request, sent http.Header, status int, h http.Header) Attribution
+	// MayResend reports whether the node may send the same request again after
+	// the response to it. The Gate then uses another connection for it.
+	MayResend(status int, h http.Header) bool
 }
 
+// Attribution says whether a response belongs to the request that was sent last
+// on its connection.
+type Attribution uint8
+
+const (
+	// Own means that the response names the request.
+	Own Attribution = iota
+	// Foreign means that it names another request. It is skipped.
+	Foreign
+	// Unmarked means that it names no request and may be the response to the
+	// request. It counts as such only on a connection that has carried no other
+	// request.
+	Unmarked
+	// Unattributable means that it cannot be told to which request it belongs.
+	Unattributable
+)
+
 // Config configures a Gate. A limit of zero selects the default that its field
 // states.
 type Config struct {
@@ -64,7 +85,8 @@
 	// BufferSize is the size in bytes of each of the two buffers of a
 	// connection; default 32 KiB.
 	BufferSize int
-	// MaxHeaderBytes bounds the head of a response; default 64 KiB.
+	// MaxHeaderBytes bounds the head of a response, together with those of the
+	// interim and stray responses before it; default 64 KiB.
 	MaxHeaderBytes int64
 }
 
@@ -107,10 +129,13 @@
 	// LateResponses counts response heads that were dropped because they arrived
 	// after the end of their request.
 	LateResponses uint64
+	// StrayResponses counts response heads that arrived during a request but
+	// belong to another one, or to none as far as can be told.
+	StrayResponses uint64
 }
 
 type counters struct {
-	sent, dialed, reused, abandoned, lateResponses atomic.Uint64
+	sent, dialed, reused, abandoned, lateResponses, strayResponses atomic.Uint64
 }
 
 // Gate is a core.Handler that forwards to one backend server.
@@ -143,6 +168,7 @@
 		Sent:   g.counts.sent.Load(),
 		Dialed: g.counts.dialed.Load(), Reused: g.counts.reused.Load(),
 		Abandoned: g.counts.abandoned.Load(), LateResponses: g.counts.lateResponses.Load(),
+		StrayResponses: g.counts.strayResponses.Load(),
 	}
 }
 
--- a/gate/idle.go
+++ b/gate/idle.go
@@ -61,34 +61,41 @@
 	c.idleSince = now
 	limit := s.limit.current(now)
 	list := <-s.conns
-	expiredCount := 0
-	for expiredCount < len(list) && now.Sub(list[expiredCount].idleSince) >= limit {
-		expiredCount++
-	}
-	expired := slices.Clone(list[:expiredCount])
-	list = append(slices.Delete(list, 0, expiredCount), c)
-	s.conns <- list
+	list, expired := splitExpired(list, now, limit)
+	s.conns <- append(list, c)
 	closeAll(expired)
 }
 
-// pop returns the most recently used connection, or nil if there is none or if
-// all have been idle for too long; it then closes them.
-func (s *idleStack) pop(now time.Time) *conn {
+// splitExpired removes the connections from list that have been idle for limit or
+// longer, and returns the others and the removed ones.
+func splitExpired(list []*conn, now time.Time, limit time.Duration) (kept, expired []*conn) {
+	n := 0
+	for n < len(list) && now.Sub(list[n].idleSince) >= limit {
+		n++
+	}
+	expired = slices.Clone(list[:n])
+	return slices.Delete(list, 0, n), expired
+}
+
+// pop returns the most recently used connection that may carry the request with
+// the given ID, or nil if there is none. It closes the connections that have been
+// idle for too long.
+func (s *idleStack) pop(now time.Time, id string) *conn {
 	limit := s.limit.current(now)
 	list := <-s.conns
-	if len(list) == 0 {
-		s.conns <- list
-		return nil
+	list, expired := splitExpired(list, now, limit)
+	var c *conn
+	for i := len(list) - 1; i >= 0 && c == nil; i-- {
+		if !slices.Contains(list[i].resendable, id) {
+			c = list[i]
+			list = slices.Delete(list, i, i+1)
+		}
 	}
-	c := list[len(list)-1]
-	c.idleTime = now.Sub(c.idleSince)
-	if c.idleTime >= limit {
-		s.conns <- nil
-		closeAll(list)
-		return nil
+	s.conns <- list
+	closeAll(expired)
+	if c != nil {
+		c.idleTime = now.Sub(c.idleSince)
 	}
-	list[len(list)-1] = nil
-	s.conns <- list[:len(list)-1]
 	return c
 }
 
--- a/gate/idle_test.go
+++ b/gate/idle_test.go
@@ -51,10 +51,10 @@
 	older, newer := newPipeConn(t), newPipeConn(t)
 	s.push(older, now)
 	s.push(newer, now.Add(time.Millisecond))
-	must.Eq(t, newer, s.pop(now.Add(2*time.Millisecond)))
+	must.Eq(t, newer, s.pop(now.Add(2*time.Millisecond), "r1"))
 	s.push(newer, now.Add(2*time.Second))
-	must.Eq(t, newer, s.pop(now.Add(2*time.Second)))
-	must.Nil(t, s.pop(now.Add(2*time.Second)), must.Sprint("a connection that was idle for too long is not reused"))
+	must.Eq(t, newer, s.pop(now.Add(2*time.Second), "r1"))
+	must.Nil(t, s.pop(now.Add(2*time.Second), "r1"), must.Sprint("a connection that was idle for too long is not reused"))
 }
 
 func newPipeConn(t *testing.T) *conn {
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -22,6 +22,13 @@
 	writeStarted atomic.Bool
 	bytesWritten atomic.Int64
 	idleSince    time.Time
+	// reused is set once the connection has carried an earlier exchange.
+	reused bool
+	// resendable holds the IDs of the requests on the connection that may be sent
+	// again, although they were responded to. A repetition of such a response
+	// would look like the response to the request that is sent again, which
+	// therefore takes another connection.
+	resendable []string
 	// idleTime is how long the connection was idle before the current exchange.
 	// It is zero for a new connection.
 	idleTime time.Duration
@@ -96,13 +103,14 @@
 	}
 }
 
-// get returns an idle or a new connection for one exchange. The caller gives it
-// back with put. An error means that the request did not run.
-func (p *connPool) get(ctx context.Context) (*conn, error) {
+// get returns an idle or a new connection for the exchange of the request with
+// the given ID. The caller gives it back with put. An error means that the
+// request did not run.
+func (p *connPool) get(ctx context.Context, id string) (*conn, error) {
 	if err := p.acquireSlot(ctx); err != nil {
 		return nil, err
 	}
-	if c := p.takeIdle(); c != nil {
+	if c := p.takeIdle(id); c != nil {
 		p.counts.reused.Add(1)
 		return c, nil
 	}
@@ -151,15 +159,25 @@
 
 func (p *connPool) releaseSlot() { <-p.slots }
 
-// takeIdle returns a reusable idle connection, or nil. It closes those that the
-// server has closed.
-func (p *connPool) takeIdle() *conn {
+// maxResendable bounds conn.resendable. A connection on which more requests were
+// refused is closed.
+const maxResendable = 16
+
+// takeIdle returns an idle connection that can carry the request with the given
+// ID, or nil. A request without an ID gets none, because nothing would tell the
+// response to it from one to an earlier request. takeIdle closes the connections
+// that the server has closed.
+func (p *connPool) takeIdle(id string) *conn {
+	if id == "" {
+		return nil
+	}
 	for {
-		c := p.idle.pop(time.Now())
+		c := p.idle.pop(time.Now(), id)
 		if c == nil {
 			return nil
 		}
 		if c.isReusable() {
+			c.reused = true
 			c.bytesWritten.Store(0)
 			c.writeStarted.Store(false)
 			return c
--- a/gate/response.go
+++ b/gate/response.go
@@ -15,10 +15,23 @@
 		Status: httpResp.StatusCode,
 		Header: endToEndFields(httpResp.Header),
 		Length: httpResp.ContentLength,
-		Body:   &responseBody{exchange: x, src: httpResp.Body, reusable: !httpResp.Close},
+		Body:   &responseBody{exchange: x, src: httpResp.Body, reusable: x.keepsConn(httpResp)},
 	}
 }
 
+// keepsConn reports whether the connection may be reused after the response, and
+// records on it that the request may be sent again.
+func (x *exchange) keepsConn(resp *http.Response) bool {
+	if resp.Close || x.unmarked {
+		return false
+	}
+	if !x.gate.cfg.Dialect.MayResend(resp.StatusCode, resp.Header) {
+		return true
+	}
+	x.conn.resendable = append(x.conn.resendable, x.req.ID)
+	return len(x.conn.resendable) <= maxResendable
+}
+
 // responseBody streams the body of a response and releases the connection on
 // Close.
 type responseBody struct {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -54,6 +54,7 @@
 		"router_waiting":             func() int64 { return n.router.Stats().Waiting },
 		"backend_requests_sent":      func() int64 { return int64(n.gate.Stats().Sent) },
 		"backend_answers_late":       func() int64 { return int64(n.gate.Stats().LateResponses) },
+		"backend_answers_stray":      func() int64 { return int64(n.gate.Stats().StrayResponses) },
 		"peer_exchanges":             func() int64 { return int64(n.peerServer.Stats().Exchanges) },
 		"peer_unauthenticated":       func() int64 { return int64(n.peerServer.Stats().Unauthenticated) },
 		"heartbeat_bytes_sent":       func() int64 { return int64(n.socket.Stats().SentBytes) },
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -239,9 +239,14 @@
 	setTimeLeft(hopTargetLeft, req.TargetTime)
 }
 
-// IsResponseTo implements gate.Dialect. It accepts every response, because
-// nodes answer each request once and in order.
-func (outboundDialect) IsResponseTo(*core.Request, int, http.Header) bool { return true }
+// Attribute implements gate.Dialect. It accepts every response, because nodes
+// answer each request once and in order.
+func (outboundDialect) Attribute(*core.Request, http.Header, int, http.Header) gate.Attribution {
+	return gate.Own
+}
+
+// MayResend implements gate.Dialect. A failure leaves the connection open.
+func (outboundDialect) MayResend(int, http.Header) bool { return false }
 
 // splitResponse returns the failure that another node's response reports, or
 // nil, and the reported usage, or nil when it is missing or malformed. It
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -124,6 +124,10 @@
 // forwarded.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
 
+// StrayAnswers returns the number of answers of the backend server so far that
+// did not belong to the request in flight on their connection.
+func (p *Proxy) StrayAnswers() int64 { return int64(p.gate.Stats().StrayResponses) }
+
 // RingStats returns the counters of the rings of slot requests and of other
 // events.
 func (p *Proxy) RingStats() (slots, events ring.Stats) { return p.requests.Stats(), p.events.Stats() }
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -54,10 +54,11 @@
 			}
 			return 0
 		},
-		"nodes_known":       func() int64 { return int64(len(n.nodes.Snapshot().Nodes)) },
-		"backend_in_flight": n.backend.InFlight,
-		"hops_read_late":    n.delays.LateRequests,
-		"uptime_seconds":    newUptimeGauge(),
+		"backend_answers_stray": n.backend.StrayAnswers,
+		"nodes_known":           func() int64 { return int64(len(n.nodes.Snapshot().Nodes)) },
+		"backend_in_flight":     n.backend.InFlight,
+		"hops_read_late":        n.delays.LateRequests,
+		"uptime_seconds":        newUptimeGauge(),
 	}
 	for name, f := range gauges {
 		if err := telemetry.RegisterGauge(m.registry, name, f); err != nil {
