gate: drop responses that echo the ID of another request

A backend server of the project's own interface that wrote a response once more made the node pass it to the caller of the next request on the connection. Backend servers of this interface need not echo the request ID, so a response without one must still be accepted; but one that echoes another request's ID is now skipped. No status of such a response becomes a promise that the request did not run, since every response is final there.

TestResponseThatEchoesAnotherRequestIsDropped on the code before: status 503 of another request, want 200.

--- a/gate/doc.go
+++ b/gate/doc.go
@@ -13,6 +13,9 @@
 // take longer than the lease, which is renewed meanwhile. Marjoram-Deadline-Ms
 // therefore carries the caller's deadline.
 //
+// A response that echoes Marjoram-Request-Id with the ID of another request is
+// dropped. Backend servers need not echo it.
+//
 // A failure before the first byte has a code for which NotRun is true. After
 // the first byte the code is CodeUnknown until the response head has arrived,
 // and CodeAborted from then on.
--- a/gate/encode.go
+++ b/gate/encode.go
@@ -72,8 +72,18 @@
 	return strings.HasPrefix(name, reservedPrefix) || name == HeaderIdempotencyKey
 }
 
-// Attribute implements Dialect.
-func (nativeDialect) Attribute(*core.Request, http.Header, int, http.Header) Attribution { return Own }
+// Attribute implements Dialect. Backend servers need not echo the request ID, so
+// a response without one belongs to the request.
+func (nativeDialect) Attribute(req *core.Request, _ http.Header, _ int, h http.Header) Attribution {
+	switch echo := h[HeaderRequestID]; {
+	case len(echo) == 0 || len(echo) == 1 && echo[0] == req.ID:
+		return Own
+	case len(echo) == 1:
+		return Foreign
+	default:
+		return Unattributable
+	}
+}
 
 // MayResend implements Dialect. Every response of a backend server is final.
 func (nativeDialect) MayResend(int, http.Header) bool { return false }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -336,3 +336,24 @@
 		must.True(t, string(body) == readAndClose(t, resp))
 	}
 }
+
+// Guards against passing a caller the response to another request, if the backend
+// server echoes the request ID.
+func TestResponseThatEchoesAnotherRequestIsDropped(t *testing.T) {
+	addr, _ := startRawBackend(t, func(n int64, c net.Conn, r *http.Request) bool {
+		if n == 2 {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nMarjoram-Request-Id: r0\r\nContent-Length: 2\r\n\r\nno")
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nMarjoram-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	g := newGate(t, Config{BackendAddr: addr})
+	for range 3 {
+		resp, err := g.Serve(t.Context(), postRequest(""))
+		must.NoError(t, err)
+		must.Eq(t, 200, resp.Status)
+		must.Eq(t, "ok", readAndClose(t, resp))
+	}
+	must.Eq(t, uint64(1), g.Stats().StrayResponses)
+	must.Eq(t, uint64(1), g.Stats().Dialed)
+}
