--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -191,7 +191,7 @@
 		return nil, &core.Error{Code: core.CodeOverloaded, Detail: "the backend server refused the request", ReachedBackend: true}
 	case platform.Unsigned:
 		_ = resp.Body.Close()
-		return nil, core.Fail(core.CodeUnknown, "the backend server's answer has no signature")
+		return nil, core.Fail(core.CodeUnknown, "the backend server's answer has no signature and does not state that the request did not run")
 	}
 	return bufferAnswer(resp)
 }
