peers: attribute each answer of another node to its request

A node that wrote a refusal once more on a kept connection made the sending node take it for the answer to the next request: the caller was told that the request did not run, or it was sent to a second backend server, while the first one ran it. An answer of something else at a node's address, such as an HTTP server's own 400 or 503, was passed to the caller as the backend server's.

Same class as for backend servers: outboundDialect took every response for that of the request in flight. The answering node now echoes the time of sending (about 36 bytes), which differs for each send on a connection, so that the same request may be sent again on the same connection. Answers of earlier builds lack the echo and are accepted. An answer without the load, which every node's dialect adds, comes from no node: its outcome is unknown. The metric peer_answers_stray counts what did not belong.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -80,6 +80,9 @@
 	Instance string
 	// Origin is the service of the VM where the request originated, or empty.
 	Origin Service
+	// SendMark names the sending of the request by another node, which expects it
+	// in the response, or is empty.
+	SendMark string
 
 	Method string
 	Path   string // with the query
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -46,7 +46,8 @@
 	// mean service time in microseconds, and failed requests per mille.
 	hopLoad = "Marjoram-Hop-Load"
 	// hopSender is the incarnation of the sending process, and hopSentAt the
-	// time of sending on its clock, in nanoseconds.
+	// time of sending on its clock, in nanoseconds. The response echoes
+	// hopSentAt, which no two requests on a connection have in common.
 	hopSender = "Marjoram-Hop-From"
 	hopSentAt = "Marjoram-Hop-Sent"
 	// statusFailed is the HTTP status of every failure between nodes.
@@ -73,6 +74,11 @@
 // ParseHead implements frontend.Dialect.
 func (i InboundDialect) ParseHead(h core.RequestHead, now time.Time) (*core.Request, error) {
 	req := &core.Request{Method: h.Method, Path: h.Path, Body: core.NoBody}
+	for _, f := range h.Fields {
+		if f.Name == hopSentAt {
+			req.SendMark = f.Value // also echoed if the head is invalid
+		}
+	}
 	now = now.Add(-i.estimateDelay(h.Fields))
 	for _, f := range h.Fields {
 		if !strings.HasPrefix(f.Name, hopPrefix) {
@@ -154,11 +160,8 @@
 }
 
 // EncodeFailure implements frontend.Dialect.
-func (i InboundDialect) EncodeFailure(_ *core.Request, e *core.Error) frontend.FailureResponse {
-	fields := []core.Field{
-		{Name: hopCode, Value: strconv.Itoa(int(e.Code))},
-		{Name: hopLoad, Value: i.encodeLoad()},
-	}
+func (i InboundDialect) EncodeFailure(req *core.Request, e *core.Error) frontend.FailureResponse {
+	fields := i.appendNodeFields([]core.Field{{Name: hopCode, Value: strconv.Itoa(int(e.Code))}}, req)
 	if e.Detail != "" {
 		fields = append(fields, core.Field{Name: hopDetail, Value: e.Detail})
 	}
@@ -172,14 +175,23 @@
 }
 
 // ResponseFields implements frontend.Dialect.
-func (i InboundDialect) ResponseFields(_ *core.Request, _ *core.Response, fields []core.Field) []core.Field {
-	out := make([]core.Field, 0, len(fields)+1)
+func (i InboundDialect) ResponseFields(req *core.Request, _ *core.Response, fields []core.Field) []core.Field {
+	out := make([]core.Field, 0, len(fields)+2)
 	for _, f := range fields {
 		if !strings.HasPrefix(f.Name, hopPrefix) {
 			out = append(out, f)
 		}
 	}
-	return append(out, core.Field{Name: hopLoad, Value: i.encodeLoad()})
+	return i.appendNodeFields(out, req)
+}
+
+// appendNodeFields appends the fields of every response to another node.
+func (i InboundDialect) appendNodeFields(fields []core.Field, req *core.Request) []core.Field {
+	fields = append(fields, core.Field{Name: hopLoad, Value: i.encodeLoad()})
+	if req.SendMark != "" {
+		fields = append(fields, core.Field{Name: hopSentAt, Value: req.SendMark})
+	}
+	return fields
 }
 
 // faultScale converts the share of failed requests to the per mille of hopLoad.
@@ -239,13 +251,20 @@
 	setTimeLeft(hopTargetLeft, req.TargetTime)
 }
 
-// Attribute implements gate.Dialect. It accepts every response, because nodes
-// answer each request once and in order.
-func (outboundDialect) Attribute(*core.Request, http.Header, int, http.Header) gate.Attribution {
+// Attribute implements gate.Dialect. Nodes of earlier builds do not echo the time
+// of sending. A response without the load does not come from a node's dialect.
+func (outboundDialect) Attribute(_ *core.Request, sent http.Header, _ int, h http.Header) gate.Attribution {
+	switch echo := h[hopSentAt]; {
+	case len(echo) > 1 || len(h[hopLoad]) != 1:
+		return gate.Unattributable
+	case len(echo) == 1 && echo[0] != sent.Get(hopSentAt):
+		return gate.Foreign
+	}
 	return gate.Own
 }
 
-// MayResend implements gate.Dialect. A failure leaves the connection open.
+// MayResend implements gate.Dialect. A request that is sent again has another time
+// of sending, so it can take the same connection.
 func (outboundDialect) MayResend(int, http.Header) bool { return false }
 
 // splitResponse returns the failure that another node's response reports, or
--- a/peers/link.go
+++ b/peers/link.go
@@ -81,6 +81,10 @@
 	return resp, nil
 }
 
+// StrayAnswers returns the number of responses so far that did not belong to the
+// request in flight on their connection.
+func (l *Link) StrayAnswers() int64 { return int64(l.gate.Stats().StrayResponses) }
+
 // CloseIdle closes the idle connections.
 func (l *Link) CloseIdle() { l.gate.CloseIdleConnections() }
 
--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -65,6 +65,17 @@
 	return stored.(*peerLink), nil
 }
 
+// strayAnswers returns the number of responses of other nodes so far that did not
+// belong to the request in flight on their connection.
+func (l *peerLinks) strayAnswers() int64 {
+	sum := int64(0)
+	l.byAddress.Range(func(_, link any) bool {
+		sum += link.(*peerLink).StrayAnswers()
+		return true
+	})
+	return sum
+}
+
 // close closes the links once their requests have ended, or when ctx ends.
 func (l *peerLinks) close(ctx context.Context) {
 	l.byAddress.Range(func(_, link any) bool {
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -55,6 +55,7 @@
 			return 0
 		},
 		"backend_answers_stray": n.backend.StrayAnswers,
+		"peer_answers_stray":    n.peerLinks.strayAnswers,
 		"nodes_known":           func() int64 { return int64(len(n.nodes.Snapshot().Nodes)) },
 		"backend_in_flight":     n.backend.InFlight,
 		"hops_read_late":        n.delays.LateRequests,
