gate: take no response as whole that a reset cut off during an upload

A backend server that answered an upload without a body length and was then reset had its answer passed to the caller as whole: a 200 with a short or empty body.

Cause: the kernel reports a reset once, to the call that comes first. When that was the write of the upload, the read of the response found the end of the connection, which marks the end of such a body. Class: the error of a connection is consumed where it is not looked at.

If the upload is not written completely when the connection ends, the state of the TCP connection now tells an orderly end from a reset.

--- a/gate/pool.go
+++ b/gate/pool.go
@@ -83,6 +83,29 @@
 	return err == nil && open
 }
 
+// tcpCloseWait is the state of a TCP connection of which only the peer has ended
+// its direction (TCP_CLOSE_WAIT of Linux). A reset ends both.
+const tcpCloseWait = 8
+
+// isHalfClosed reports whether the server has ended its direction of the
+// connection in order and has not reset it since.
+func (c *conn) isHalfClosed() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	halfClosed := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		halfClosed = infoErr == nil && info.State == tcpCloseWait
+	})
+	return err == nil && halfClosed
+}
+
 // connPool keeps idle connections and bounds the number of those in use.
 type connPool struct {
 	cfg     Config
--- a/gate/response.go
+++ b/gate/response.go
@@ -15,7 +15,10 @@
 		Status: httpResp.StatusCode,
 		Header: endToEndFields(httpResp.Header),
 		Length: httpResp.ContentLength,
-		Body:   &responseBody{exchange: x, src: httpResp.Body, reusable: x.keepsConn(httpResp)},
+		Body: &responseBody{
+			exchange: x, src: httpResp.Body, reusable: x.keepsConn(httpResp),
+			endsWithConn: httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 && httpResp.Body != http.NoBody,
+		},
 	}
 }
 
@@ -39,7 +42,9 @@
 	src      io.Reader
 	reusable bool
 	complete bool // the body was read to its end
-	closed   atomic.Bool
+	// endsWithConn is set if the end of the connection marks the end of the body.
+	endsWithConn bool
+	closed       atomic.Bool
 }
 
 // Read implements io.Reader. net/http reports a truncated body as
@@ -50,6 +55,8 @@
 	}
 	n, err := b.src.Read(p)
 	switch {
+	case err == io.EOF && b.endsWithConn && !b.exchange.connEndedInOrder():
+		err = core.Fail(core.CodeAborted, "connection was reset within a response body without a length")
 	case err == io.EOF:
 		b.complete = true
 	case err != nil:
@@ -58,6 +65,21 @@
 	return n, err
 }
 
+// connEndedInOrder reports whether the server ended the connection without a
+// reset. A read tells this only if no write failed, because the kernel reports a
+// reset once, to whichever comes first.
+func (x *exchange) connEndedInOrder() bool {
+	select {
+	case err := <-x.writeResult:
+		x.writeResult <- err
+		if err == nil {
+			return true
+		}
+	default:
+	}
+	return x.conn.isHalfClosed()
+}
+
 // Close implements io.Closer. The connection is kept only if both the request
 // and the response were transferred completely.
 func (b *responseBody) Close() error {
