gate: end a request at once when the bytes are no response

A backend server or node that sent bytes which are no response, without a line end, kept the caller waiting until its deadline. A status line with a status below 100 was skipped like an interim response, and one from 600 or of another major version was passed to the caller.

Class: bytes are read on although they cannot become a response any more. The first bytes are now compared with the start of every response as they arrive, and a status outside 100 to 599 is malformed.

--- a/gate/head.go
+++ b/gate/head.go
@@ -14,6 +14,11 @@
 
 func (*HeadTooLargeError) Error() string { return "response heads exceed the configured limit" }
 
+// MalformedResponseError reports bytes that are no response of HTTP/1.
+type MalformedResponseError struct{}
+
+func (*MalformedResponseError) Error() string { return "malformed status line" }
+
 // StrayResponseError reports a response after which the response to the request
 // cannot be found on the connection.
 type StrayResponseError struct{ Status int }
@@ -31,10 +36,15 @@
 // responses to other requests.
 func (x *exchange) readHead() (*http.Response, error) {
 	for {
+		if err := x.checkProtocol(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.conn.br, x.httpReq)
 		switch {
 		case err != nil:
 			return nil, err
+		case resp.StatusCode < 100 || resp.StatusCode > 599:
+			return nil, &MalformedResponseError{}
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, core.Fail(core.CodeUnknown, "backend server switched protocols")
 		case resp.StatusCode < 200:
@@ -54,6 +64,24 @@
 	}
 }
 
+// protocolPrefix begins every response.
+const protocolPrefix = "HTTP/1."
+
+// checkProtocol reads until it is known whether a response begins. Bytes that are
+// no response are not read on, as they may have no end.
+func (x *exchange) checkProtocol() error {
+	for n := 1; n <= len(protocolPrefix); n++ {
+		b, err := x.conn.br.Peek(n)
+		if err != nil {
+			return err
+		}
+		if b[n-1] != protocolPrefix[n-1] {
+			return &MalformedResponseError{}
+		}
+	}
+	return nil
+}
+
 // discardResponse reads and drops a response to another request.
 func (x *exchange) discardResponse(resp *http.Response) error {
 	x.conn.headBytesLeft = -1
