gate: bound the stray responses that one exchange skips

A server that wrote complete responses to another request without end held a request, its connection and its slot until the deadline, and the node parsed all of them: each one began a new limit for the head, so that the limits never took effect. Class: a limit for each message, where messages can follow each other without end.

The heads of an exchange now share Config.MaxHeaderBytes, the stray ones with those of interim responses and of the response, and the stray bodies share 256 KiB. A stray response that ends its connection is not read on.

A body without a known end may be a response that is streamed, so its only bound is the deadline of the request.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -31,6 +31,9 @@
 	detachContext func() bool // keeps the end of ctx from interrupting conn
 	// writeResult receives the result of writing the request, once.
 	writeResult chan error
+	// discardLeft is the number of body bytes of responses to other requests that
+	// may still be read.
+	discardLeft int64
 	// unmarked is set if the response names no request. A repetition of it would
 	// leave the outcome of the next request unknown.
 	unmarked bool
@@ -68,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{gate: g, ctx: ctx, req: req, conn: c, httpReq: httpReq, cancel: cancel, writeResult: make(chan error, 1)}
+	x := &exchange{gate: g, ctx: ctx, req: req, conn: c, httpReq: httpReq, cancel: cancel, discardLeft: maxDiscardedBody, writeResult: make(chan error, 1)}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	return x.roundTrip()
 }
--- a/gate/head.go
+++ b/gate/head.go
@@ -28,7 +28,7 @@
 }
 
 // maxDiscardedBody bounds in bytes the bodies of responses to other requests
-// that are read to reach the response. 256 KiB takes milliseconds on a local
+// that an exchange reads to reach the response. 256 KiB takes milliseconds on a local
 // link.
 const maxDiscardedBody = 256 << 10
 
@@ -82,18 +82,20 @@
 	return nil
 }
 
-// discardResponse reads and drops a response to another request.
+// discardResponse reads and drops a response to another request. All of them in
+// an exchange share the limits, so that they cannot follow each other without end.
 func (x *exchange) discardResponse(resp *http.Response) error {
+	if resp.Close {
+		return &StrayResponseError{resp.StatusCode} // no other response follows
+	}
+	headBytesLeft := x.conn.headBytesLeft
 	x.conn.headBytesLeft = -1
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBody+1))
-	switch {
-	case err != nil:
-		return err
-	case n > maxDiscardedBody || resp.Close:
-		return &StrayResponseError{resp.StatusCode}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, x.discardLeft+1))
+	x.conn.headBytesLeft = headBytesLeft
+	if x.discardLeft -= n; err == nil && x.discardLeft < 0 {
+		err = &StrayResponseError{resp.StatusCode}
 	}
-	x.conn.headBytesLeft = x.gate.cfg.MaxHeaderBytes
-	return nil
+	return err
 }
 
 // attribution says to which request a response on the connection belongs. It
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -33,7 +33,8 @@
 	// It is zero for a new connection.
 	idleTime time.Duration
 	// headBytesLeft is the number of bytes that may still be read of a response
-	// head, or -1 while no head is expected.
+	// head and of those before it in the exchange, or -1 while no head is
+	// expected.
 	headBytesLeft int64
 }
 
