gate: read nothing when a response body is closed

A backend server that refused a request with a chunked body, but never sent a chunk, held the caller until its deadline: the node had the refusal, and closing its body waited for the first chunk, to find out whether the body was empty. A response without a body is now known from its head.

--- a/gate/response.go
+++ b/gate/response.go
@@ -16,7 +16,7 @@
 		Header: endToEndFields(httpResp.Header),
 		Length: httpResp.ContentLength,
 		Body: &responseBody{
-			exchange: x, src: httpResp.Body, reusable: x.keepsConn(httpResp),
+			exchange: x, src: httpResp.Body, reusable: x.keepsConn(httpResp), complete: httpResp.Body == http.NoBody,
 			endsWithConn: httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 && httpResp.Body != http.NoBody,
 		},
 	}
@@ -41,7 +41,7 @@
 	exchange *exchange
 	src      io.Reader
 	reusable bool
-	complete bool // the body was read to its end
+	complete bool // there is no body, or it was read to its end
 	// endsWithConn is set if the end of the connection marks the end of the body.
 	endsWithConn bool
 	closed       atomic.Bool
@@ -81,17 +81,12 @@
 }
 
 // Close implements io.Closer. The connection is kept only if both the request
-// and the response were transferred completely.
+// and the response were transferred completely. Nothing is read on, since the rest
+// of a response that is dropped may have no end or never come.
 func (b *responseBody) Close() error {
 	if b.closed.Swap(true) {
 		return nil
 	}
-	if !b.complete {
-		// A response without a body ends with its head and may not have been
-		// read.
-		_, err := b.src.Read(nil)
-		b.complete = err == io.EOF
-	}
 	clean := b.complete && b.reusable
 	select {
 	case err := <-b.exchange.writeResult:
