transport: reject empty frames within a body

A peer that sent frames without data kept the read of a body, and so the exchange and its processor time, until the deadline, or for ever for a request without one. Peers never send an empty frame other than the head and the end.

--- a/transport/frame.go
+++ b/transport/frame.go
@@ -18,8 +18,8 @@
 )
 
 // TruncatedError reports that the frames of a stream do not form a whole body:
-// the stream ended without its end frame, holds a second head, or holds more or
-// fewer bytes than its head announced.
+// the stream ended without its end frame, holds a second head or an empty frame,
+// or holds more or fewer bytes than its head announced.
 type TruncatedError struct{ Reason string }
 
 func (e *TruncatedError) Error() string { return "stream truncated: " + e.Reason }
@@ -63,6 +63,8 @@
 			return 0, err
 		case f.GetHead() != nil:
 			return 0, &TruncatedError{Reason: "second head frame"}
+		case len(f.GetData()) == 0 && !f.GetEnd():
+			return 0, &TruncatedError{Reason: "empty frame"} // they may have no end
 		}
 		r.unread, r.ended = f.GetData(), f.GetEnd()
 	}
