--- a/core/exchange.go
+++ b/core/exchange.go
@@ -85,6 +85,9 @@
 	// request that entered here.
 	ReceivedAt time.Time
 	ReadDelay  time.Duration
+	// SendMark names the sending of the request by another node, which expects it
+	// in the response, or is empty.
+	SendMark string
 
 	Method string
 	Path   string // with the query
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -22,11 +22,19 @@
 	writeStarted atomic.Bool
 	bytesWritten atomic.Int64
 	idleSince    time.Time
+	// reused is set once the connection has carried an earlier exchange.
+	reused bool
+	// resendable holds the IDs of the requests on the connection that may be sent
+	// again, although they were responded to. A repetition of such a response
+	// would look like the response to the request that is sent again, which
+	// therefore takes another connection.
+	resendable []string
 	// idleTime is how long the connection was idle before the current exchange.
 	// It is zero for a new connection.
 	idleTime time.Duration
 	// headBytesLeft is the number of bytes that may still be read of a response
-	// head, or -1 while no head is expected.
+	// head and of those before it in the exchange, or -1 while no head is
+	// expected.
 	headBytesLeft int64
 	meter         *core.ByteMeter
 }
@@ -81,6 +89,29 @@
 	return err == nil && open
 }
 
+// tcpCloseWait is the state of a TCP connection of which only the peer has ended
+// its direction (TCP_CLOSE_WAIT of Linux). A reset ends both.
+const tcpCloseWait = 8
+
+// isHalfClosed reports whether the server has ended its direction of the
+// connection in order and has not reset it since.
+func (c *conn) isHalfClosed() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	halfClosed := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		halfClosed = infoErr == nil && info.State == tcpCloseWait
+	})
+	return err == nil && halfClosed
+}
+
 // connPool keeps idle connections and bounds the number of those in use.
 type connPool struct {
 	cfg     Config
@@ -101,13 +132,14 @@
 	}
 }
 
-// get returns an idle or a new connection for one exchange. The caller gives it
-// back with put. An error means that the request did not run.
-func (p *connPool) get(ctx context.Context) (*conn, error) {
+// get returns an idle or a new connection for the exchange of the request with
+// the given ID. The caller gives it back with put. An error means that the
+// request did not run.
+func (p *connPool) get(ctx context.Context, id string) (*conn, error) {
 	if err := p.acquireSlot(ctx); err != nil {
 		return nil, err
 	}
-	if c := p.takeIdle(); c != nil {
+	if c := p.takeIdle(id); c != nil {
 		p.counts.reused.Add(1)
 		return c, nil
 	}
@@ -156,15 +188,25 @@
 
 func (p *connPool) releaseSlot() { <-p.slots }
 
-// takeIdle returns a reusable idle connection, or nil. It closes those that the
-// server has closed.
-func (p *connPool) takeIdle() *conn {
+// maxResendable bounds conn.resendable. A connection on which more requests were
+// refused is closed.
+const maxResendable = 16
+
+// takeIdle returns an idle connection that can carry the request with the given
+// ID, or nil. A request without an ID gets none, because nothing would tell the
+// response to it from one to an earlier request. takeIdle closes the connections
+// that the server has closed.
+func (p *connPool) takeIdle(id string) *conn {
+	if id == "" {
+		return nil
+	}
 	for {
-		c := p.idle.pop(time.Now())
+		c := p.idle.pop(time.Now(), id)
 		if c == nil {
 			return nil
 		}
 		if c.isReusable() {
+			c.reused = true
 			c.bytesWritten.Store(0)
 			c.writeStarted.Store(false)
 			return c
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -51,7 +51,8 @@
 	// before they are read in microseconds.
 	hopLoad = "Marjoram-Hop-Load"
 	// hopSender is the incarnation of the sending process, and hopSentAt the
-	// time of sending on its clock, in nanoseconds.
+	// time of sending on its clock, in nanoseconds. The response echoes
+	// hopSentAt, which no two requests on a connection have in common.
 	hopSender = "Marjoram-Hop-From"
 	hopSentAt = "Marjoram-Hop-Sent"
 	// statusFailed is the HTTP status of every failure between nodes.
@@ -78,6 +79,11 @@
 // ParseHead implements frontend.Dialect.
 func (i InboundDialect) ParseHead(h core.RequestHead, now time.Time) (*core.Request, error) {
 	req := &core.Request{Method: h.Method, Path: h.Path, Body: core.NoBody, ReceivedAt: now, ReadDelay: i.estimateDelay(h.Fields)}
+	for _, f := range h.Fields {
+		if f.Name == hopSentAt {
+			req.SendMark = f.Value // also echoed if the head is invalid
+		}
+	}
 	now = now.Add(-req.ReadDelay)
 	for _, f := range h.Fields {
 		if !strings.HasPrefix(f.Name, hopPrefix) {
@@ -160,11 +166,10 @@
 
 // EncodeFailure implements frontend.Dialect.
 func (i InboundDialect) EncodeFailure(req *core.Request, e *core.Error) frontend.FailureResponse {
-	fields := []core.Field{
+	fields := i.appendNodeFields([]core.Field{
 		{Name: hopCode, Value: strconv.Itoa(int(e.Code))},
-		{Name: hopLoad, Value: i.encodeLoad()},
 		{Name: hopTiming, Value: encodeMicros(req.ReadDelay) + "," + encodeMicros(time.Since(req.ReceivedAt))},
-	}
+	}, req)
 	if e.Detail != "" {
 		fields = append(fields, core.Field{Name: hopDetail, Value: e.Detail})
 	}
@@ -180,14 +185,23 @@
 func encodeMicros(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
 
 // ResponseFields implements frontend.Dialect.
-func (i InboundDialect) ResponseFields(_ *core.Request, _ *core.Response, fields []core.Field) []core.Field {
-	out := make([]core.Field, 0, len(fields)+1)
+func (i InboundDialect) ResponseFields(req *core.Request, _ *core.Response, fields []core.Field) []core.Field {
+	out := make([]core.Field, 0, len(fields)+2)
 	for _, f := range fields {
 		if !strings.HasPrefix(f.Name, hopPrefix) {
 			out = append(out, f)
 		}
 	}
-	return append(out, core.Field{Name: hopLoad, Value: i.encodeLoad()})
+	return i.appendNodeFields(out, req)
+}
+
+// appendNodeFields appends the fields of every response to another node.
+func (i InboundDialect) appendNodeFields(fields []core.Field, req *core.Request) []core.Field {
+	fields = append(fields, core.Field{Name: hopLoad, Value: i.encodeLoad()})
+	if req.SendMark != "" {
+		fields = append(fields, core.Field{Name: hopSentAt, Value: req.SendMark})
+	}
+	return fields
 }
 
 // perMille converts a share to the unit of hopLoad.
@@ -249,9 +263,21 @@
 	setTimeLeft(hopTargetLeft, req.TargetTime)
 }
 
-// IsResponseTo implements gate.Dialect. It accepts every response, because
-// nodes answer each request once and in order.
-func (outboundDialect) IsResponseTo(*core.Request, int, http.Header) bool { return true }
+// Attribute implements gate.Dialect. Nodes of earlier builds do not echo the time
+// of sending. A response without the load does not come from a node's dialect.
+func (outboundDialect) Attribute(_ *core.Request, sent http.Header, _ int, h http.Header) gate.Attribution {
+	switch echo := h[hopSentAt]; {
+	case len(echo) > 1 || len(h[hopLoad]) != 1:
+		return gate.Unattributable
+	case len(echo) == 1 && echo[0] != sent.Get(hopSentAt):
+		return gate.Foreign
+	}
+	return gate.Own
+}
+
+// MayResend implements gate.Dialect. A request that is sent again has another time
+// of sending, so it can take the same connection.
+func (outboundDialect) MayResend(int, http.Header) bool { return false }
 
 // splitResponse returns the failure that another node's response reports, or
 // nil, and the reported usage, or nil when it is missing or malformed. It
