peers: match the answers to calls between nodes by an ID

A node that writes an earlier answer once more on a kept connection had it taken for the answer to the next call. For a member of a service with keys this extended its lease: a lease counts from when the member asked, so the coordinator, which had withheld it, could give the rows to another holder while this one still served them. A new coordinator could take an earlier confirmation for that of the coordinator that it replaced, and give rows away before the leases of that one had ended.

Class: an answer is matched with its call only by the order on the connection. Neither LeaseAnswer nor StepDownAnswer names its request.

Fix: the client numbers its calls in a header field that the answer repeats, for all procedures at once. Any other number fails the call and closes the connection. A field is used instead of a connection for each call because leases must outlast lost packets, and a lost SYN costs a second. A node of an earlier version repeats no number; its answer is accepted on a connection that has carried no other call.

--- /dev/null
+++ b/peers/callclient.go
@@ -0,0 +1,115 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"marjoramshore.example/shards"
+)
+
+// Limits of calls.
+const (
+	// callTimeout bounds a call; members report every 400 ms.
+	callTimeout = 700 * time.Millisecond
+	// maxMessageBytes bounds a message; a thousand rows take 100 KB.
+	maxMessageBytes   = 2 << 20
+	callDialTimeout   = 300 * time.Millisecond
+	callIdleTimeout   = 20 * time.Second
+	callHeaderTimeout = 2 * time.Second
+)
+
+// callIDHeader identifies a call on its connection; the answer repeats it. An
+// answer that is written once more on a kept connection would otherwise be taken
+// for the one to the next call, and extend a lease.
+const callIDHeader = "Marjoramshore-Call-Id"
+
+// Client calls other nodes. It is safe for concurrent use. Its errors are of
+// type *CallError.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client. It connects on the first call to each node.
+func NewClient() *Client {
+	return &Client{http: &http.Client{
+		Transport: &callTransport{http: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: callDialTimeout}).DialContext, IdleConnTimeout: callIdleTimeout,
+			MaxIdleConnsPerHost: 1, DisableCompression: true,
+		}},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// callTransport numbers the calls and rejects answers to other ones.
+type callTransport struct {
+	http   *http.Transport
+	lastID atomic.Uint64
+}
+
+// OtherCallError reports an answer that belongs to another call than the one
+// that was sent.
+type OtherCallError struct{ Sent, Answered string }
+
+// Error implements error.
+func (e *OtherCallError) Error() string {
+	return "answer belongs to call " + strconv.Quote(e.Answered) + " instead of " + strconv.Quote(e.Sent)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *callTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	id := strconv.FormatUint(t.lastID.Add(1), 10)
+	reused := false
+	r = r.Clone(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused },
+	}))
+	r.Header.Set(callIDHeader, id)
+	resp, err := t.http.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	answered := resp.Header.Get(callIDHeader)
+	// A node of an earlier version repeats no ID. Its answer can belong to no
+	// other call if the connection has carried none.
+	if answered != id && (answered != "" || reused) {
+		_ = resp.Body.Close()
+		// The connection is idle already if the answer has no body.
+		t.http.CloseIdleConnections()
+		return nil, &OtherCallError{Sent: id, Answered: answered}
+	}
+	return resp, nil
+}
+
+// Report sends a member's report to the coordinator at address, host:port, and
+// returns the coordinator's answer.
+func (c *Client) Report(ctx context.Context, address string, r shards.LeaseRequest) (shards.LeaseAnswer, error) {
+	return callPeer[shards.LeaseRequest, shards.LeaseAnswer](ctx, c, address, reportProcedure, r)
+}
+
+// StepDown tells the coordinator at address, host:port, that it was replaced.
+func (c *Client) StepDown(ctx context.Context, address string, r StepDownRequest) (StepDownAnswer, error) {
+	return callPeer[StepDownRequest, StepDownAnswer](ctx, c, address, stepDownProcedure, r)
+}
+
+// Document asks the node at address, host:port, for its copy of a store object.
+func (c *Client) Document(ctx context.Context, address string, r DocumentRequest) (DocumentAnswer, error) {
+	return callPeer[DocumentRequest, DocumentAnswer](ctx, c, address, documentProcedure, r)
+}
+
+func callPeer[Req, Res any](ctx context.Context, c *Client, address, procedure string, r Req) (Res, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := connect.NewClient[Req, Res](c.http, "http://"+address+procedure,
+		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
+	res, err := client.CallUnary(ctx, connect.NewRequest(&r))
+	if err != nil {
+		var zero Res
+		return zero, &CallError{Procedure: procedure, Cause: eris.Wrap(err, address)}
+	}
+	return *res.Msg, nil
+}
--- a/peers/calls.go
+++ b/peers/calls.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
-	"github.com/rotisserie/eris"
 	"marjoramshore.example/core"
 	"marjoramshore.example/shards"
 )
@@ -73,24 +70,16 @@
 // Unmarshal implements connect.Codec.
 func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
 
-// Limits of calls.
-const (
-	// callTimeout bounds a call; members report every 400 ms.
-	callTimeout = 700 * time.Millisecond
-	// maxMessageBytes bounds a message; a thousand rows take 100 KB.
-	maxMessageBytes   = 2 << 20
-	callDialTimeout   = 300 * time.Millisecond
-	callIdleTimeout   = 20 * time.Second
-	callHeaderTimeout = 2 * time.Second
-)
-
 // NewMux returns an HTTP handler that passes the calls to h.
 func NewMux(h Handler) http.Handler {
 	mux := http.NewServeMux()
 	registerProcedure(mux, reportProcedure, h.Report)
 	registerProcedure(mux, stepDownProcedure, h.StepDown)
 	registerProcedure(mux, documentProcedure, h.Document)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(callIDHeader, r.Header.Get(callIDHeader))
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func registerProcedure[Req, Res any](mux *http.ServeMux, procedure string, answer func(context.Context, Req) Res) {
@@ -108,44 +97,3 @@
 		WriteTimeout: 2 * callHeaderTimeout, IdleTimeout: 2 * callIdleTimeout, ErrorLog: nil,
 	}
 }
-
-// Client calls other nodes. It is safe for concurrent use. Its errors are of
-// type *CallError.
-type Client struct{ http *http.Client }
-
-// NewClient returns a client. It connects on the first call to each node.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: callDialTimeout}).DialContext, IdleConnTimeout: callIdleTimeout,
-		MaxIdleConnsPerHost: 1, DisableCompression: true,
-	}}}
-}
-
-// Report sends a member's report to the coordinator at address, host:port, and
-// returns the coordinator's answer.
-func (c *Client) Report(ctx context.Context, address string, r shards.LeaseRequest) (shards.LeaseAnswer, error) {
-	return callPeer[shards.LeaseRequest, shards.LeaseAnswer](ctx, c, address, reportProcedure, r)
-}
-
-// StepDown tells the coordinator at address, host:port, that it was replaced.
-func (c *Client) StepDown(ctx context.Context, address string, r StepDownRequest) (StepDownAnswer, error) {
-	return callPeer[StepDownRequest, StepDownAnswer](ctx, c, address, stepDownProcedure, r)
-}
-
-// Document asks the node at address, host:port, for its copy of a store object.
-func (c *Client) Document(ctx context.Context, address string, r DocumentRequest) (DocumentAnswer, error) {
-	return callPeer[DocumentRequest, DocumentAnswer](ctx, c, address, documentProcedure, r)
-}
-
-func callPeer[Req, Res any](ctx context.Context, c *Client, address, procedure string, r Req) (Res, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	client := connect.NewClient[Req, Res](c.http, "http://"+address+procedure,
-		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
-	res, err := client.CallUnary(ctx, connect.NewRequest(&r))
-	if err != nil {
-		var zero Res
-		return zero, &CallError{Procedure: procedure, Cause: eris.Wrap(err, address)}
-	}
-	return *res.Msg, nil
-}
