peers: end calls between nodes whose bytes have no end

An answer or a call with a body above the limit of 2 MiB failed, but connect-go reads the rest of such a body to its end to report its size: 160 to 220 MB of an answer within the 0.7 s of a call, and 900 MB of a call within the 4 s for which the server reads, on VMs with links of 10 to 200 Mbit/s. Heads were read up to 10 MB by the client and 1 MB by the server.

Class: a limit that stops the use of bytes, but not their reading.

Fix: the body itself fails after the limit, which closes the connection, and heads have at most 16 KiB.

Calls and answers that are cut at each byte, in all three framings, and heads, chunk extensions and trailers without end passed before and are now covered.

--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +120,181 @@
 		must.Eq(t, i%2 == 0, err == nil && s.Done, must.Sprint(i, err))
 	}
 }
+
+// Guards against an answer that breaks off in its head or body and counts as an
+// answer.
+func TestAnswerToCallCutAtEachByte(t *testing.T) {
+	parts := make(chan func(head string) string, 1)
+	address := startRawPeer(t, func(c net.Conn) {
+		if head, ok := readCall(bufio.NewReader(c)); ok {
+			_, _ = io.WriteString(c, (<-parts)(head))
+		}
+	})
+	c, ctx := NewClient(), context.Background()
+	body := encodeAnswer(t, StepDownAnswer{Done: true})
+	for _, frame := range []func(head string) string{
+		func(head string) string { return withBody(head, body) },
+		func(head string) string { return head + "\r\n" + body },
+		func(head string) string {
+			return head + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
+		},
+	} {
+		cut := true
+		for n := 0; cut; n++ {
+			sent := make(chan bool, 1)
+			parts <- func(head string) string {
+				whole := frame(head)
+				sent <- n < len(whole)
+				return whole[:min(n, len(whole))]
+			}
+			a, err := c.StepDown(ctx, address, StepDownRequest{Term: 3})
+			cut = <-sent
+			must.Eq(t, cut, err != nil, must.Sprint(n))
+			must.Eq(t, !cut, a.Done)
+		}
+	}
+}
+
+// Guards against an answer without end, in its head or body, that holds up the
+// call or keeps being read.
+func TestAnswerToCallWithoutEnd(t *testing.T) {
+	const maxBytesRead = 16 << 20 // the limit of a message, and the largest buffers of both sockets
+	for kind, r := range map[string]struct{ begin, repeat string }{
+		"header fields":   {"", "X-Fill: 0123456789\r\n"},
+		"header line":     {"X-Fill: ", strings.Repeat("x", 1024)},
+		"body":            {"\r\n" + `{"Done":true}`, strings.Repeat(" ", 1024)},
+		"announced body":  {"Content-Length: 99999999999\r\n\r\n" + `{"Done":true}`, strings.Repeat(" ", 1024)},
+		"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "4\r\n    \r\n"},
+		"chunk extension": {"Transfer-Encoding: chunked\r\n\r\n4;", strings.Repeat("x", 1024)},
+		"trailers":        {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Fill: 0123456789\r\n"},
+		"1xx":             {"\r\n", "HTTP/1.1 103 X\r\nX-Fill: 0123456789\r\n\r\n"},
+	} {
+		for _, status := range []string{"200 OK", "503 X"} {
+			t.Run(kind+" "+status, func(t *testing.T) {
+				written := make(chan int, 1)
+				address := startRawPeer(t, func(c net.Conn) {
+					head, ok := readCall(bufio.NewReader(c))
+					if !ok {
+						return
+					}
+					head = strings.Replace(head, "200 OK", status, 1)
+					if kind == "1xx" {
+						head = "HTTP/1.1 103 X\r\n"
+					}
+					n, _ := io.WriteString(c, head+r.begin)
+					_ = c.SetWriteDeadline(time.Now().Add(20 * time.Second))
+					for block := strings.Repeat(r.repeat, 1024/len(r.repeat)); ; {
+						more, err := io.WriteString(c, block)
+						if n += more; err != nil {
+							written <- n
+							return
+						}
+					}
+				})
+				start := time.Now()
+				a, err := NewClient().StepDown(context.Background(), address, StepDownRequest{})
+				must.Error(t, err)
+				must.False(t, a.Done)
+				must.Less(t, 4*callTimeout, time.Since(start))
+				select {
+				case n := <-written:
+					must.Less(t, maxBytesRead, n)
+				case <-time.After(5 * time.Second):
+					t.Fatal("connection still open")
+				}
+			})
+		}
+	}
+}
+
+// countingHandler counts the calls.
+type countingHandler struct {
+	testHandler
+	calls *atomic.Int64
+}
+
+// StepDown implements Handler.
+func (h countingHandler) StepDown(context.Context, StepDownRequest) StepDownAnswer {
+	h.calls.Add(1)
+	return StepDownAnswer{Done: true}
+}
+
+// startCallServer runs a server that counts the StepDown calls.
+func startCallServer(t *testing.T) (string, *atomic.Int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	h := countingHandler{calls: &atomic.Int64{}}
+	server := NewServer(h)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String(), h.calls
+}
+
+const stepDownHead = "POST " + stepDownProcedure + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Type: application/json\r\n"
+
+// Guards against a call that breaks off and is carried out.
+func TestCallCutAtEachByte(t *testing.T) {
+	address, calls := startCallServer(t)
+	body := `{"Service":"s","Term":4}`
+	chunked := stepDownHead + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
+	for _, request := range []string{withBody(stepDownHead, body), chunked} {
+		for n := range len(request) + 1 {
+			c, err := net.Dial("tcp", address)
+			must.NoError(t, err)
+			_, err = io.WriteString(c, request[:n])
+			must.NoError(t, err)
+			if n < len(request) {
+				must.NoError(t, c.(*net.TCPConn).CloseWrite())
+			}
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			answer, err := io.ReadAll(c)
+			must.NoError(t, err)
+			must.NoError(t, c.Close())
+			whole := n == len(request)
+			must.Eq(t, whole, bytes.Contains(answer, []byte(`{"Done":true}`)), must.Sprint(strconv.Quote(request[:n]), string(answer)))
+			must.Eq(t, whole, calls.Swap(0) == 1, must.Sprint(strconv.Quote(request[:n])))
+		}
+	}
+}
+
+// Guards against a call without end, in its head or body, that is carried out or
+// keeps being read.
+func TestCallWithoutEnd(t *testing.T) {
+	const maxBytesRead = 16 << 20 // the limit of a message, and the largest buffers of both sockets
+	address, calls := startCallServer(t)
+	for kind, r := range map[string]struct{ begin, repeat string }{
+		"request line":       {"POST /", strings.Repeat("x", 1024)},
+		"header fields":      {stepDownHead, "X-Fill: 0123456789\r\n"},
+		"header line":        {stepDownHead + "X-Fill: ", strings.Repeat("x", 1024)},
+		"announced body":     {stepDownHead + "Content-Length: 99999999999\r\n\r\n" + `{"Term":4}`, strings.Repeat(" ", 1024)},
+		"chunks":             {stepDownHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat(" ", 1024) + "\r\n"},
+		"chunk extension":    {stepDownHead + "Transfer-Encoding: chunked\r\n\r\n4;", strings.Repeat("x", 1024)},
+		"trailers":           {stepDownHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Fill: 0123456789\r\n"},
+		"body of other path": {strings.Replace(stepDownHead, stepDownProcedure, "/x", 1) + "Content-Length: 99999999999\r\n\r\n", strings.Repeat(" ", 1024)},
+		"head that trickles": {stepDownHead + "X-Fill: ", "x"},
+		"body that trickles": {stepDownHead + "Content-Length: 999\r\n\r\n", " "},
+	} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", address)
+			must.NoError(t, err)
+			defer c.Close()
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			n, _ := io.WriteString(c, r.begin)
+			_ = c.SetWriteDeadline(time.Now().Add(20 * time.Second))
+			for start := time.Now(); ; {
+				more, err := io.WriteString(c, r.repeat)
+				n += more
+				if err != nil {
+					must.Less(t, 10*time.Second, time.Since(start))
+					break
+				}
+				if len(r.repeat) == 1 {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			must.Less(t, maxBytesRead, n)
+			must.Eq(t, 0, calls.Load())
+		})
+	}
+}
--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -20,7 +20,13 @@
 	// callTimeout bounds a call; members report every 400 ms.
 	callTimeout = 700 * time.Millisecond
 	// maxMessageBytes bounds a message; a thousand rows take 100 KB.
-	maxMessageBytes   = 2 << 20
+	maxMessageBytes = 2 << 20
+	// maxBodyBytes bounds a body. It is one more than a message has, because
+	// connect-go reads the rest of a body that exceeds maxMessageBytes by one
+	// byte, however long that is.
+	maxBodyBytes = maxMessageBytes + 1
+	// maxCallHeadBytes bounds the head of a call or of an answer.
+	maxCallHeadBytes  = 16 << 10
 	callDialTimeout   = 300 * time.Millisecond
 	callIdleTimeout   = 20 * time.Second
 	callHeaderTimeout = 2 * time.Second
@@ -40,7 +46,7 @@
 	return &Client{http: &http.Client{
 		Transport: &callTransport{http: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: callDialTimeout}).DialContext, IdleConnTimeout: callIdleTimeout,
-			MaxIdleConnsPerHost: 1, DisableCompression: true,
+			MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -82,6 +88,7 @@
 		t.http.CloseIdleConnections()
 		return nil, &OtherCallError{Sent: id, Answered: answered}
 	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxBodyBytes)
 	return resp, nil
 }
 
--- a/peers/calls.go
+++ b/peers/calls.go
@@ -78,6 +78,7 @@
 	registerProcedure(mux, documentProcedure, h.Document)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(callIDHeader, r.Header.Get(callIDHeader))
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -93,7 +94,7 @@
 // NewServer returns an HTTP server that passes the calls to h.
 func NewServer(h Handler) *http.Server {
 	return &http.Server{
-		Handler: NewMux(h), ReadHeaderTimeout: callHeaderTimeout, ReadTimeout: 2 * callHeaderTimeout,
+		Handler: NewMux(h), MaxHeaderBytes: maxCallHeadBytes, ReadHeaderTimeout: callHeaderTimeout, ReadTimeout: 2 * callHeaderTimeout,
 		WriteTimeout: 2 * callHeaderTimeout, IdleTimeout: 2 * callIdleTimeout, ErrorLog: nil,
 	}
 }
