storehttp: open a connection for each call to the store

The same fault as in the client of the platform's store: an earlier response that the store writes once more on a kept connection was taken for the one to the next call. A write after a 503 was reported as not applied though it was, and a write after an earlier success as applied.

The test failed before: the Put that took effect got the earlier 503.

bytes_test.go:75: expected nil error

Fix: as there, a connection carries one call. No content check can tell an earlier refusal from the present one.

--- a/storehttp/client.go
+++ b/storehttp/client.go
@@ -56,9 +56,11 @@
 		cfg.MaxListBytes = 32 << 20
 	}
 	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{
-		MaxConnsPerHost:     cfg.MaxConns,
-		MaxIdleConnsPerHost: cfg.MaxConns,
-		IdleConnTimeout:     time.Minute,
+		// A response does not name its call. On a kept connection, a response
+		// that the store writes once more would be taken for the one to the
+		// next call.
+		DisableKeepAlives: true,
+		MaxConnsPerHost:   cfg.MaxConns,
 	}}}, nil
 }
 
