frontend: fail a chunked upload that ends within its trailers

A caller, or another node, that broke off between the last chunk and the end of the trailers had its request run, and answered, as whole. hertz returns io.EOF from the body both when the trailers have been read and when the connection ended within them.

Class: the end of the connection taken for the end of the message.

Fix: after io.EOF of a chunked body, the body is read once more. hertz then returns io.EOF again, without reading, only if it has seen the end of the trailers.

TestRequestCutAtEachByte failed before: a request that ended behind "0\r\n" got "HTTP/1.1 200 OK". Heads, bodies of announced length and chunks that are cut at each byte, with the connection closed or half closed, and heads that arrive byte by byte, passed before.

--- a/frontend/body.go
+++ b/frontend/body.go
@@ -55,7 +55,7 @@
 		// effect.
 		return 0, core.ClosedBodyError{}
 	}
-	n, err := u.source.Read(p)
+	n, err := u.readSource(p)
 	u.readTime += time.Since(start)
 	u.bytesRead += int64(n)
 	if u.remaining > 0 {
@@ -77,6 +77,24 @@
 	return n, nil
 }
 
+// readSource reads from hertz. It returns io.EOF only if the body is whole.
+func (u *uploadReader) readSource(p []byte) (int, error) {
+	if u.remaining >= 0 {
+		return u.source.Read(p)
+	}
+	n, err := u.source.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	// hertz also returns io.EOF if the connection ends within the trailers, and
+	// then reads on at the next call.
+	buffered := u.conn.Len()
+	if _, err = u.source.Read(make([]byte, 1)); err != io.EOF || u.conn.Len() != buffered {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, io.EOF
+}
+
 func (u *uploadReader) belowMinRate() bool {
 	if u.readTime < minRateGracePeriod {
 		return false
--- a/frontend/limits_test.go
+++ b/frontend/limits_test.go
@@ -14,9 +14,12 @@
 	"marjoramshore.example/core"
 )
 
-// noDeadlineConn is a connection whose read deadlines have no effect.
+// noDeadlineConn is a connection whose read deadlines have no effect
+// and that has nothing buffered.
 type noDeadlineConn struct{ network.Conn }
 
+func (noDeadlineConn) Len() int { return 0 }
+
 func (noDeadlineConn) SetReadDeadline(time.Time) error { return nil }
 
 // Guards against an upload that is very slow but never exceeds the idle
