frontend: bound the framing of a chunked upload

A caller, or another node, whose chunked upload went on with trailers, with one long trailer, or with white space behind a chunk size was read until the timeout of a body read, 30 s by default, at the full rate of the connection. hertz keeps these bytes in the buffer of the connection until the trailers or the chunk size are complete, so that one caller could take the memory of a VM, of which some have 184 MB. MaxBodyBytes and MinBodyRate count only the data of the chunks.

Class: a limit on content, but none on the bytes around it.

Fix: while a chunked body is read, the connection fails after as many bytes as were asked for plus MaxHeaderBytes.

Request lines, methods, empty lines, header names, lines and fields, chunks, chunk sizes and extensions without end passed before.

--- a/frontend/body.go
+++ b/frontend/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 type uploadReader struct {
 	source    io.Reader
 	conn      network.Conn
+	caller    *callerConn
 	cfg       *Config
 	remaining int64 // announced bytes not yet read, or core.UnknownLength
 	bytesRead int64
@@ -82,6 +84,10 @@
 	if u.remaining >= 0 {
 		return u.source.Read(p)
 	}
+	// Within one read, hertz collects the framing between chunks, or all
+	// trailers, in memory without a limit of its own.
+	u.caller.readBudget.Store(int64(len(p) + u.cfg.MaxHeaderBytes))
+	defer u.caller.readBudget.Store(math.MaxInt64)
 	n, err := u.source.Read(p)
 	if err != io.EOF {
 		return n, err
--- a/frontend/bytes_test.go
+++ b/frontend/bytes_test.go
@@ -142,3 +142,52 @@
 	}
 	awaitFreed(t, f)
 }
+
+// Guards against a request without end, in its head or body, that is run as
+// whole, keeps being read, or keeps its connection.
+func TestRequestWithoutEnd(t *testing.T) {
+	const maxBytesRead = 16 << 20 // the limit of a body, and the largest buffers of both sockets
+	chunked := "POST /a HTTP/1.1\r\n" + routingFields + "Transfer-Encoding: chunked\r\n\r\n"
+	for kind, r := range map[string]struct{ begin, repeat string }{
+		"request line":    {"GET /", "x"},
+		"method":          {"", "x"},
+		"empty lines":     {"", "\r\n"},
+		"header line":     {"GET / HTTP/1.1\r\n" + routingFields + "X-Fill: ", "x"},
+		"header name":     {"GET / HTTP/1.1\r\n" + routingFields, "x"},
+		"header fields":   {"GET / HTTP/1.1\r\n" + routingFields, "X-Fill: 0123456789\r\n"},
+		"announced body":  {"POST /a HTTP/1.1\r\n" + routingFields + "Content-Length: 99999999999\r\n\r\n", "x"},
+		"chunks":          {chunked, "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+		"small chunks":    {chunked, "1\r\nx\r\n"},
+		"large chunk":     {chunked + "7fffffff\r\n", "x"},
+		"chunk size":      {chunked, "0"},
+		"chunk extension": {chunked + "4;", "x"},
+		"white space":     {chunked + "4", " "},
+		"last chunk":      {chunked + "0;", "x"},
+		"trailers":        {chunked + "0\r\n", "X-Fill: 0123456789\r\n"},
+		"trailer":         {chunked + "0\r\nX-Fill: ", "x"},
+	} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			f, reader := startReader(t, frontend.Config{MaxBodyBytes: 1 << 20, HeaderTimeout: 2 * time.Second, BodyIdleTimeout: 2 * time.Second})
+			c := dialFrontend(t, f)
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			n, _ := io.WriteString(c, r.begin)
+			_ = c.SetWriteDeadline(time.Now().Add(20 * time.Second))
+			start := time.Now()
+			for block := strings.Repeat(r.repeat, max(1, 4096/len(r.repeat))); ; {
+				more, err := io.WriteString(c, block)
+				if n += more; err != nil {
+					break
+				}
+			}
+			must.Less(t, testTimeout, time.Since(start), must.Sprint(n))
+			must.Less(t, maxBytesRead, n)
+			awaitFreed(t, f)
+			select {
+			case w := <-reader.whole:
+				must.False(t, w)
+			default:
+			}
+		})
+	}
+}
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -18,12 +19,30 @@
 	listener *listener
 	busy     atomic.Bool
 	closed   atomic.Bool
+	// readBudget is the number of bytes after which reads fail.
+	readBudget atomic.Int64
+}
+
+// FramingTooLargeError is the error for a chunked body with more bytes between
+// its data than Config.MaxHeaderBytes.
+type FramingTooLargeError struct{}
+
+func (FramingTooLargeError) Error() string { return "framing of the request body too large" }
+
+func newCallerConn(nc net.Conn, l *listener) *callerConn {
+	c := &callerConn{Conn: nc, listener: l}
+	c.readBudget.Store(math.MaxInt64)
+	return c
 }
 
 // Read implements net.Conn. The first byte of a request marks the connection as
 // busy until the response has been sent.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.readBudget.Load() <= 0 {
+		return 0, FramingTooLargeError{}
+	}
 	n, err := c.Conn.Read(p)
+	c.readBudget.Add(-int64(n))
 	if n > 0 {
 		c.busy.Store(true)
 	}
@@ -116,7 +135,7 @@
 			_ = nc.Close()
 			continue
 		}
-		c := &callerConn{Conn: nc, listener: l}
+		c := newCallerConn(nc, l)
 		// hertz sets no read deadline for the first request of a connection.
 		_ = c.SetReadDeadline(time.Now().Add(l.headerTimeout))
 		l.conns.Store(c, nil)
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -105,7 +105,7 @@
 		return
 	}
 	upload := &uploadReader{
-		source: x.rc.RequestBodyStream(), conn: x.rc.GetConn(), cfg: &x.frontend.cfg,
+		source: x.rc.RequestBodyStream(), conn: x.rc.GetConn(), caller: x.conn, cfg: &x.frontend.cfg,
 		remaining: x.req.Length, onEOF: func() { x.frontend.startWatch(x.callerWatch) },
 	}
 	x.requestBody = core.NewBody(upload, upload.interrupt)
