sidecar: handle only whole status reports, bounded in time and size

A status report in chunks that broke off between its last chunk and the end of its trailers was handled as whole. Trailers, and white space behind a chunk size, were read without end, into the memory of the process: 2 GB within 40 s from one connection, on VMs with 184 to 536 MB. A head or body that arrived byte by byte held its connection for good, since hertz sets no read deadline for the first request of a connection. The listener of readiness checks has the same server.

Class: limits on content, but none on the bytes around it, and the end of a connection taken for the end of a message.

Fix: both listeners are served by net/http, as the calls between nodes are: it limits heads, chunk framing and trailers, sets one deadline for the whole request, and fails a body that is not whole. A request is passed on only once its body has been read to its end. A backend server may still leave without waiting for the answer.

--- a/sidecar/http.go
+++ b/sidecar/http.go
@@ -2,93 +2,107 @@
 
 import (
 	"context"
+	"io"
+	stdlog "log"
 	"net"
+	"net/http"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/apex/log"
 
 	"marjoramshore.example/platform"
+	"marjoramshore.example/telemetry"
 )
 
 const (
 	// maxReportBytes bounds a status report. One with 130 rows of 50 bytes has
 	// 7 KB.
 	maxReportBytes = 64 << 10
+	// maxReportHeadBytes bounds the head of a status report.
+	maxReportHeadBytes = 16 << 10
 	// reportTimeout bounds the time to answer a status report. The backend
 	// server waits for a second.
 	reportTimeout     = 700 * time.Millisecond
 	serverIdleTimeout = time.Minute
+	// serverReadTimeout bounds the time to read a request, and to write its
+	// answer.
 	serverReadTimeout = 10 * time.Second
 )
 
 // httpServer serves one of the listeners for the platform: status reports or
 // readiness checks.
 type httpServer struct {
-	engine   *server.Hertz
+	server   *http.Server
 	listener net.Listener
 }
 
-func newHTTPServer(address string, h app.HandlerFunc) (*httpServer, error) {
+// newHTTPServer returns a server that passes each whole request, with its body,
+// to handle. What net/http reports goes to logger.
+func newHTTPServer(address string, logger log.Interface, handle func(http.ResponseWriter, *http.Request, []byte)) (*httpServer, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &Error{"listen on " + address, err}
 	}
-	engine := server.New(
-		server.WithListener(ln), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxReportBytes), server.WithMaxHeaderBytes(maxHeaderBytes),
-		server.WithReadTimeout(serverReadTimeout), server.WithIdleTimeout(serverIdleTimeout),
-		server.WithExitWaitTime(time.Second), server.WithDisablePrintRoute(true),
-		server.WithDisableDefaultContentType(true), server.WithDisableDefaultDate(true),
-	)
-	engine.NoRoute(h)
-	return &httpServer{engine: engine, listener: ln}, nil
+	server := &http.Server{
+		// net/http is used because hertz limits neither the trailers of a
+		// request nor the time in which the first request of a connection
+		// arrives, and accepts one that ends within its trailers.
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxReportBytes))
+			if err != nil {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			handle(w, r, body)
+		}),
+		MaxHeaderBytes: maxReportHeadBytes, ReadTimeout: serverReadTimeout, WriteTimeout: serverReadTimeout, IdleTimeout: serverIdleTimeout,
+		ErrorLog: stdlog.New(telemetry.WarnWriter(logger, "HTTP server reported a problem"), "", 0),
+	}
+	return &httpServer{server: server, listener: ln}, nil
 }
 
 func (s *httpServer) serve(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
-	// Run returns when the listener is closed, which is how the node stops.
-	_ = s.engine.Engine.Run()
+	// Serve returns when the server is closed, which is how the node stops.
+	_ = s.server.Serve(s.listener)
 }
 
 // serveReady answers the platform's readiness checks, which decide whether
 // callers send requests to this node.
-func (n *Node) serveReady(_ context.Context, c *app.RequestContext) {
-	if n.ready.Load() {
-		c.SetStatusCode(200)
-	} else {
-		c.SetStatusCode(503)
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request, _ []byte) {
+	if !n.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
 // serveReport answers the status reports and leave calls of the backend server.
-func (n *Node) serveReport(ctx context.Context, c *app.RequestContext) {
-	instance, action, ok := platform.ParseInstancePath(string(c.Path()))
-	if !ok || !c.IsPost() {
-		c.SetStatusCode(404)
+func (n *Node) serveReport(w http.ResponseWriter, r *http.Request, body []byte) {
+	instance, action, ok := platform.ParseInstancePath(r.URL.EscapedPath())
+	if !ok || r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	// A backend server may end without waiting for the answer to its last call.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), reportTimeout)
 	defer cancel()
 	if action == platform.ActionDeregister {
 		if _, ok := n.backend.HandleLeave(ctx, instance); !ok {
-			c.SetStatusCode(503)
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	report, err := platform.DecodeReport(instance, c.Request.Body())
+	report, err := platform.DecodeReport(instance, body)
 	if err != nil {
 		n.log.WithError(err).WithField("instance", instance).Warn("decoding a status report of the backend server failed")
-		c.SetStatusCode(400)
+		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	ack, ok := n.backend.HandleReport(ctx, report)
 	if !ok {
 		n.log.WithField("instance", instance).Warn("status report of the backend server not answered in time: the node's event loops are behind")
-		c.SetStatusCode(503)
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	n.answerReport(c, report, ack.Sharded, &ack.Grant)
+	n.answerReport(w, report, ack.Sharded, &ack.Grant)
 }
--- /dev/null
+++ b/sidecar/httpbytes_test.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+)
+
+// startPlatformListener serves the listener for status reports or readiness
+// checks and counts the requests that reach its handler.
+func startPlatformListener(t *testing.T) (string, *atomic.Int64) {
+	requests := &atomic.Int64{}
+	s, err := newHTTPServer("127.0.0.1:0", &log.Logger{Handler: discard.Default}, func(http.ResponseWriter, *http.Request, []byte) { requests.Add(1) })
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.serve(ctx)
+	return s.listener.Addr().String(), requests
+}
+
+const reportHead = "POST /instances/i-1/heartbeat HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Type: application/json\r\n"
+
+// Guards against a status report or a readiness check that breaks off and is
+// handled as whole. A report without its end could renew keys that the backend
+// server does not name.
+func TestReportCutAtEachByte(t *testing.T) {
+	address, requests := startPlatformListener(t)
+	for _, request := range []string{
+		reportHead + "Content-Length: 5\r\n\r\nabcde", reportHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+		reportHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\nX-T: 1\r\n\r\n",
+		"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+	} {
+		for n := range len(request) + 1 {
+			c, err := net.Dial("tcp", address)
+			must.NoError(t, err)
+			_, err = io.WriteString(c, request[:n])
+			must.NoError(t, err)
+			must.NoError(t, c.(*net.TCPConn).CloseWrite())
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			answer, err := io.ReadAll(c)
+			must.NoError(t, err)
+			must.NoError(t, c.Close())
+			whole := n == len(request)
+			must.Eq(t, whole, strings.HasPrefix(string(answer), "HTTP/1.1 200"), must.Sprint(strconv.Quote(request[:n])))
+			must.Eq(t, whole, requests.Swap(0) == 1, must.Sprint(strconv.Quote(request[:n])))
+		}
+	}
+}
+
+// Guards against a status report or a readiness check without end, in its head
+// or body, that is handled, keeps being read, or keeps its connection.
+func TestReportWithoutEnd(t *testing.T) {
+	const maxBytesRead = 16 << 20 // the largest buffers of both sockets, and the limit of a report
+	address, requests := startPlatformListener(t)
+	chunked := reportHead + "Transfer-Encoding: chunked\r\n\r\n"
+	for kind, r := range map[string]struct{ begin, repeat string }{
+		"request line":       {"GET /", "x"},
+		"empty lines":        {"", "\r\n"},
+		"header line":        {reportHead + "X-Fill: ", "x"},
+		"header fields":      {reportHead, "X-Fill: 0123456789\r\n"},
+		"announced body":     {reportHead + "Content-Length: 99999999999\r\n\r\n", "x"},
+		"chunks":             {chunked, "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+		"large chunk":        {chunked + "7fffffff\r\n", "x"},
+		"chunk extension":    {chunked + "4;", "x"},
+		"white space":        {chunked + "4", " "},
+		"trailers":           {chunked + "0\r\n", "X-Fill: 0123456789\r\n"},
+		"trailer":            {chunked + "0\r\nX-Fill: ", "x"},
+		"head that trickles": {reportHead + "X-Fill: ", ""},
+		"body that trickles": {reportHead + "Content-Length: 9999\r\n\r\n", ""},
+		"trickle of chunks":  {chunked + "7fff\r\n", ""},
+	} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", address)
+			must.NoError(t, err)
+			defer c.Close()
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			n, _ := io.WriteString(c, r.begin)
+			_ = c.SetWriteDeadline(time.Now().Add(40 * time.Second))
+			block := strings.Repeat(r.repeat, 4096/max(1, len(r.repeat)))
+			start := time.Now()
+			for {
+				if block == "" {
+					time.Sleep(50 * time.Millisecond)
+					_, err = io.WriteString(c, "x")
+				} else {
+					var more int
+					more, err = io.WriteString(c, block)
+					n += more
+				}
+				if err != nil {
+					break
+				}
+			}
+			must.Less(t, 2*serverReadTimeout, time.Since(start), must.Sprint(n))
+			must.Less(t, maxBytesRead, n)
+			must.Eq(t, 0, requests.Load())
+		})
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -162,10 +162,10 @@
 	if n.inbound, err = frontend.New(in); err != nil {
 		return err
 	}
-	if n.reportServer, err = newHTTPServer(s.ReportAddress, n.serveReport); err != nil {
+	if n.reportServer, err = newHTTPServer(s.ReportAddress, n.log, n.serveReport); err != nil {
 		return err
 	}
-	if n.readyServer, err = newHTTPServer(s.ReadyAddress, n.serveReady); err != nil {
+	if n.readyServer, err = newHTTPServer(s.ReadyAddress, n.log, n.serveReady); err != nil {
 		return err
 	}
 	n.peerServer = peers.NewServer(peerHandler{n})
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -1,8 +1,9 @@
 package sidecar
 
 import (
+	"net/http"
+
 	"github.com/apex/log"
-	"github.com/cloudwego/hertz/pkg/app"
 
 	"marjoramshore.example/platform"
 	"marjoramshore.example/shards"
@@ -10,14 +11,14 @@
 
 // answerReport acknowledges a status report. The answer contains the grant g if
 // the run takes part in the key assignment.
-func (n *Node) answerReport(c *app.RequestContext, r platform.StatusReport, sharded bool, g *shards.Grant) {
+func (n *Node) answerReport(w http.ResponseWriter, r platform.StatusReport, sharded bool, g *shards.Grant) {
 	if !sharded {
 		g = nil
 	}
 	body, err := platform.EncodeGrant(g)
 	if err != nil {
 		n.log.WithError(err).Error("encoding a grant of keys for the backend server failed")
-		c.SetStatusCode(500)
+		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	n.metrics.statusReports.Inc(1)
@@ -27,5 +28,7 @@
 			"granted": len(g.Rows), "hold_ms": g.HoldTime.Milliseconds(),
 		}).Info("keys granted to the backend server differ from those it holds, or it released keys")
 	}
-	c.Data(200, "application/json", body)
+	w.Header().Set("Content-Type", "application/json")
+	// A backend server that left does not need the answer.
+	_, _ = w.Write(body)
 }
