telemetry: bound requests for the metrics in time and size

A request for the metrics with trailers, or white space behind a chunk size, without end was read into memory until its sender closed, at the full rate of the connection; a head or body that arrived byte by byte held its connection for good. The listener of the metrics is open to the network.

Class: as with status reports, limits on content but none on the bytes around it, and no read deadline for the first request of a connection.

Fix: the listener is served by net/http, which has limits for both.

--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -1,17 +1,18 @@
 package telemetry
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/rcrowley/go-metrics"
 
 	"marjoramshore.example/ring"
@@ -118,34 +119,42 @@
 }
 
 // MetricsHandler returns a handler that responds with the metrics of r.
-func MetricsHandler(r metrics.Registry) app.HandlerFunc {
-	return func(_ context.Context, c *app.RequestContext) {
-		var b strings.Builder
+func MetricsHandler(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		var b bytes.Buffer
 		WriteMetrics(&b, r)
-		c.Data(200, "text/plain; version=0.0.4; charset=utf-8", []byte(b.String()))
-	}
+		// A caller that left does not need the metrics.
+		_, _ = w.Write(b.Bytes())
+	})
 }
 
+// metricsTimeout bounds the time to read a request, and to write its response.
+const metricsTimeout = 10 * time.Second
+
 // MetricsServer is an HTTP server for GET /metrics.
-type MetricsServer struct{ engine *server.Hertz }
+type MetricsServer struct {
+	server   *http.Server
+	listener net.Listener
+}
 
 // NewMetricsServer returns a server for the metrics of r on ln, which it owns
 // from then on.
 func NewMetricsServer(ln net.Listener, r metrics.Registry) *MetricsServer {
-	h := server.New(
-		server.WithListener(ln), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(1<<10), server.WithMaxHeaderBytes(8<<10),
-		server.WithReadTimeout(10*time.Second), server.WithWriteTimeout(10*time.Second),
-		server.WithIdleTimeout(time.Minute), server.WithExitWaitTime(time.Second),
-		server.WithDisablePrintRoute(true),
-	)
-	h.GET("/metrics", MetricsHandler(r))
-	return &MetricsServer{engine: h}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", MetricsHandler(r))
+	// net/http is used because hertz limits neither the trailers of a request
+	// nor the time in which the first request of a connection arrives.
+	return &MetricsServer{listener: ln, server: &http.Server{
+		Handler: mux, MaxHeaderBytes: 8 << 10, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, IdleTimeout: time.Minute,
+		// A request that cannot be read concerns only its sender.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}}
 }
 
 // Serve serves requests until Shutdown. The error is an *Error.
 func (s *MetricsServer) Serve() error {
-	if err := s.engine.Engine.Run(); err != nil {
+	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return &Error{Operation: "serve metrics", Cause: err}
 	}
 	return nil
@@ -153,7 +162,7 @@
 
 // Shutdown stops the server. The error is an *Error.
 func (s *MetricsServer) Shutdown(ctx context.Context) error {
-	if err := s.engine.Shutdown(ctx); err != nil {
+	if err := s.server.Shutdown(ctx); err != nil {
 		return &Error{Operation: "stop serving metrics", Cause: err}
 	}
 	return nil
