sidecar/backend: read a body before its request takes a slot

An upload held a slot of the backend server while its body crossed the link: 48 ms for 60 KB on 10 Mbit/s, and a second or more on a busy link, of a work time of 380 ms.

TestSlowBodyHoldsNoSlot failed before: a second request found the only slot taken until its deadline.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -99,6 +99,7 @@
 	// demandBits is the demand as the bits of a float64.
 	demandBits atomic.Uint64
 	counts     counters
+	bodies     bodyBuffers
 }
 
 // Counts holds the decisions on requests since the proxy was created.
@@ -180,6 +181,11 @@
 	}
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
+	release, err := p.bodies.read(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
 	slot, err := p.admit(ctx, req)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/sidecar/backend/body_test.go
@@ -0,0 +1,76 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/platform"
+	"marjoramshore.example/sidecar/keys"
+)
+
+// startProxy returns a proxy of a backend server with one slot.
+func startProxy(t *testing.T) *Proxy {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Marjoramshore-Attempt-Id", r.Header.Get("X-Marjoramshore-Attempt-Id"))
+		w.Header().Set("X-Marjoramshore-Response-Signature", "s")
+	}))
+	t.Cleanup(server.Close)
+	p, err := New(Config{
+		Node: "n", Service: "reports", Address: server.Listener.Addr().String(), ReportInterval: time.Minute,
+		Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default},
+		KeyController: func() *keys.Controller { return nil }, OnRunChange: func(Run) {},
+	})
+	must.NoError(t, err)
+	go p.Run(t.Context())
+	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "reports", Slots: 1, Sequence: 1})
+	must.True(t, ok)
+	return p
+}
+
+func newRequest(id string, length int64, body io.Reader) *core.Request {
+	return &core.Request{
+		ID: id, Service: "reports", Instance: "i", Method: "POST", Path: "/x", Length: length, Body: io.NopCloser(body),
+		Header:   []core.Field{{Name: "Host", Value: "h"}, {Name: "X-Marjoramshore-Attempt-Id", Value: id}},
+		Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+// Guards against an upload that holds a slot of the backend server while its
+// body still crosses a slow link.
+func TestSlowBodyHoldsNoSlot(t *testing.T) {
+	p := startProxy(t)
+	slow, writer := io.Pipe()
+	const size = 100_000
+	done := make(chan error, 1)
+	go func() {
+		resp, err := p.Serve(t.Context(), newRequest("slow", size, slow))
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		done <- err
+	}()
+	_, err := writer.Write(make([]byte, size/2))
+	must.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	resp, err := p.Serve(ctx, newRequest("quick", 0, strings.NewReader("")))
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	_, err = writer.Write(make([]byte, size/2))
+	must.NoError(t, err)
+	must.NoError(t, <-done)
+	must.Eq(t, 0, p.bodies.used.Load())
+
+}
