standin: misbehave with repeated refusals, cut heads and endless bytes

The stand-in of a backend server can now send an earlier refusal of a kept connection once more, with or without its attempt ID, break off in the middle of the head of an answer, and send bytes without end in a head or a body. An answer that is sent twice no longer ends the connection. The stand-in of the store has the same faults for one in three calls.

The faults are made on the connection, in package garble, so that the handlers stay as they are.

--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"marjoramshore.example/standin/garble"
 	"marjoramshore.example/standin/wire"
 )
 
@@ -69,7 +70,8 @@
 	// CloseConnection runs requests and closes the connection instead of
 	// answering.
 	CloseConnection
-	// AnswerTwice sends a second, unsolicited answer after each one.
+	// AnswerTwice sends a second, unsolicited answer after each one on a kept
+	// connection.
 	AnswerTwice
 	// OmitSignature leaves the signature out of answers.
 	OmitSignature
@@ -77,8 +79,32 @@
 	TruncateAnswer
 	// AnswerError answers with status 500.
 	AnswerError
+	// RepeatRefusal refuses the first request of a connection, and sends that
+	// refusal again when it has begun to execute a later one, or after the
+	// answer of that one.
+	RepeatRefusal
+	// RepeatRefusalWithoutID does the same, without the attempt ID in the copy.
+	RepeatRefusalWithoutID
+	// CutHead closes the connection in the middle of the head of each answer.
+	CutHead
+	// EndlessHead and EndlessBody send bytes without end in the head or the body
+	// of each answer.
+	EndlessHead
+	EndlessBody
+	faultCount // number of faults
 )
 
+// FaultCount is the number of faults, with NoFault, which is 0.
+const FaultCount = int(faultCount)
+
+var faultNames = [faultCount]string{
+	"none", "never-answer", "close-connection", "answer-twice", "omit-signature", "truncate-answer", "answer-error",
+	"repeat-refusal", "repeat-refusal-without-id", "cut-head", "endless-head", "endless-body",
+}
+
+// String returns the name of the fault in plans.
+func (f Fault) String() string { return faultNames[f] }
+
 // KeyRange is a granted range of keys, From and To included, with its fence.
 type KeyRange struct {
 	From, To int
@@ -107,6 +133,8 @@
 	running atomic.Int64
 	peak    atomic.Int64
 	fault   atomic.Int32
+	// faultVariant counts the uses of faults that have variants.
+	faultVariant atomic.Int64
 }
 
 // SetFault makes the server misbehave from now on; NoFault ends that.
@@ -119,10 +147,10 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, ln: ln, startedAtMs: time.Now().UnixMilli(), runCounts: make(map[string]int), stop: make(chan struct{})}
-	s.http = &http.Server{Handler: s}
+	s.http = &http.Server{Handler: s, ConnContext: garble.ConnContext}
 	s.stopped.Go(func() {
 		// Serve returns when the listener is closed.
-		_ = s.http.Serve(ln)
+		_ = s.http.Serve(garble.Listener{Listener: ln})
 	})
 	s.stopped.Go(s.sendReports)
 	return s, nil
@@ -180,6 +208,11 @@
 	w.Header().Set(wire.HeaderAttemptID, id)
 	expectedInstance := r.Header.Get(wire.HeaderInstance)
 	key, _ := strconv.Atoi(r.Header.Get(wire.HeaderKey))
+	if s.refusesFirst(r) {
+		w.Header().Set(wire.HeaderNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.mu.Lock()
 	misdirected := expectedInstance != "" && expectedInstance != s.cfg.Instance || s.cfg.Sharded && !s.holdsKey(key)
 	if !misdirected {
@@ -204,6 +237,7 @@
 			time.AfterFunc(cancelDelay, s.checkSlots)
 		}
 	}
+	s.repeatRefusal(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -249,27 +283,49 @@
 		return
 	case AnswerError:
 		w.WriteHeader(http.StatusInternalServerError)
-	case AnswerTwice:
-		s.answerTwice(w, body)
-		return
+	default:
+		if g, ok := garbled[f]; ok {
+			garble.FromContext(r.Context()).Arm(g, int(s.faultVariant.Add(1)))
+		}
 	}
 	// A caller that left does not need the answer.
 	_, _ = io.WriteString(w, body)
 }
 
-// answerTwice writes an answer and a second one that belongs to no request.
-func (s *Server) answerTwice(w http.ResponseWriter, body string) {
-	header := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
-	for name, values := range w.Header() {
-		header += name + ": " + values[0] + "\r\n"
+// garbled holds the faults that change the bytes of an answer.
+var garbled = map[Fault]garble.Fault{
+	AnswerTwice: garble.Twice, CutHead: garble.CutHead, EndlessHead: garble.EndlessHead, EndlessBody: garble.EndlessBody,
+}
+
+func (s *Server) repeatsRefusals() (repeats, withID bool) {
+	f := Fault(s.fault.Load())
+	return f == RepeatRefusal || f == RepeatRefusalWithoutID, f == RepeatRefusal
+}
+
+// refusesFirst reports whether a request must be refused, so that a later one of
+// its connection can get the refusal again.
+func (s *Server) refusesFirst(r *http.Request) bool {
+	repeats, _ := s.repeatsRefusals()
+	return repeats && garble.FromContext(r.Context()).Refusal() == nil
+}
+
+// repeatRefusal sends an earlier refusal of the connection again, by turns at
+// once and after the answer of the request that is executed.
+func (s *Server) repeatRefusal(r *http.Request) {
+	repeats, withID := s.repeatsRefusals()
+	c := garble.FromContext(r.Context())
+	if !repeats || c.Refusal() == nil {
+		return
 	}
-	c, buf, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	refusal := c.Refusal()
+	if !withID {
+		refusal = garble.WithoutField(refusal, wire.HeaderAttemptID)
+	}
+	if s.faultVariant.Add(1)%2 == 1 {
+		c.SendNow(refusal)
+	} else {
+		c.SendAfter(refusal)
 	}
-	defer func() { _ = c.Close() }()
-	_, _ = buf.WriteString(header + "\r\n" + body + header + "\r\n" + body)
-	_ = buf.Flush()
 }
 
 // sendReports sends status reports until the server crashes.
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"marjoramshore.example/standin/garble"
 )
 
 type metadata struct {
@@ -31,6 +33,34 @@
 	kind    string
 }
 
+// Fault is a way in which the store sends bytes that are no responses.
+type Fault int
+
+// Faults. One in faultOneIn calls is affected.
+const (
+	NoFault Fault = iota
+	// CutHead closes the connection in the middle of the head of a response.
+	CutHead
+	// EndlessHead and EndlessBody send bytes without end in the head or the body
+	// of a response.
+	EndlessHead
+	EndlessBody
+	// RepeatRefusal refuses a call, and sends that refusal again when it has
+	// executed a later one of the connection, before or after its response.
+	RepeatRefusal
+	faultCount // number of faults
+)
+
+// FaultCount is the number of faults, with NoFault, which is 0.
+const FaultCount = int(faultCount)
+
+// String returns the name of the fault in plans.
+func (f Fault) String() string {
+	return [faultCount]string{"none", "cut-head", "endless-head", "endless-body", "repeat-refusal"}[f]
+}
+
+const faultOneIn = 3
+
 // Store is the stand-in. Its methods are safe for concurrent use.
 type Store struct {
 	mu               sync.Mutex
@@ -42,6 +72,7 @@
 	down             bool
 	eventsSuppressed bool
 	answersToLose    int
+	fault            Fault
 	calls            int
 
 	server *http.Server
@@ -55,10 +86,10 @@
 		return nil, err
 	}
 	s := &Store{revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), ln: ln}
-	s.server = &http.Server{Handler: s}
+	s.server = &http.Server{Handler: s, ConnContext: garble.ConnContext}
 	go func() {
 		// Serve returns when the listener is closed.
-		_ = s.server.Serve(ln)
+		_ = s.server.Serve(garble.Listener{Listener: ln})
 	}()
 	return s, nil
 }
@@ -93,6 +124,14 @@
 	s.answersToLose = n
 }
 
+// SetFault makes the store send bytes that are no responses from now on;
+// NoFault ends that.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
 // DropHistory drops the history, so that a watch from an earlier revision fails
 // with status 410.
 func (s *Store) DropHistory() {
@@ -153,11 +192,15 @@
 	kind, name, _ := strings.Cut(rest, "/")
 	s.mu.Lock()
 	s.calls++
-	down := s.down
+	down, fault, calls := s.down, s.fault, s.calls
 	s.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
 	}
+	if calls%faultOneIn == 0 && !injectFault(r, fault, calls/faultOneIn) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch {
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
@@ -170,6 +213,30 @@
 	}
 }
 
+// injectFault prepares a fault in the response of a call. It returns false if
+// the call must be refused.
+func injectFault(r *http.Request, f Fault, variant int) bool {
+	c := garble.FromContext(r.Context())
+	switch f {
+	case CutHead:
+		c.Arm(garble.CutHead, variant)
+	case EndlessHead:
+		c.Arm(garble.EndlessHead, variant)
+	case EndlessBody:
+		c.Arm(garble.EndlessBody, variant)
+	case RepeatRefusal:
+		switch refusal := c.Refusal(); {
+		case refusal == nil:
+			return false
+		case variant%2 == 0:
+			c.SendNow(refusal)
+		default:
+			c.SendAfter(refusal)
+		}
+	}
+	return true
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -36,6 +36,9 @@
 	PortPeers    = 7380
 )
 
+// MemoryLimitMB is the memory limit of a node's process in its settings.
+const MemoryLimitMB = 284
+
 // Bounds are the limits in the settings file that the soak test checks.
 type Bounds struct {
 	DrainTime, GraceTime, ReportInterval, RetryWindow time.Duration
@@ -65,7 +68,7 @@
 	setAddress("listen.control", PortReports)
 	setAddress("app-addr", PortBackend)
 	set("internal-port-range", fmt.Sprintf("%d,%d", PortPeers, PortPeers))
-	set("limits.memory-mb", 284)
+	set("limits.memory-mb", MemoryLimitMB)
 	set("bootstrap", true)
 	set("heartbeat", b.ReportInterval)
 	set("bounds", fmt.Sprintf("drain=%v,grace=%v,hold-max=10000ms,retry-budget-ratio=%v,budget-window=%v,budget-min-retries=%d",
