soak: see requests that a stopping node read and did not answer

Callers used the client of net/http, which sends a request again by itself when a kept connection ends without a response, and they closed the connection after each request that may run once. So a node that closed a kept connection after it had read a request went unseen.

Callers now speak HTTP on their own connections and use them until the node closes them, also while it stops. The check "mixed" also reports bytes without a waiting request, an answer with another attempt ID, and a failure with the signature of another answer.

New kinds: throttle, store-garble, and the new faults of the stand-ins. A process that uses more memory than its settings allow breaks the rule process.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -16,15 +16,15 @@
 
 // soakFlags holds the flags of the soak command.
 type soakFlags struct {
-	binary, dir, html                              string
-	firstSeed                                      uint64
-	seedCount, keyedNodes, plainNodes, requestRate int
-	disturbFor, meanGap                            time.Duration
-	plannedOnly, verbose                           bool
+	binary, dir, html, kinds                                       string
+	firstSeed                                                      uint64
+	seedCount, keyedNodes, plainNodes, requestRate, callersPerNode int
+	disturbFor, meanGap                                            time.Duration
+	plannedOnly, overlap, slow, verbose                            bool
 }
 
 func soakCommand() command {
-	f := soakFlags{seedCount: 1, keyedNodes: 5, plainNodes: 2, requestRate: 150, disturbFor: 20 * time.Second, meanGap: 1500 * time.Millisecond}
+	f := soakFlags{seedCount: 1, keyedNodes: 5, plainNodes: 2, requestRate: 150, callersPerNode: 4, disturbFor: 20 * time.Second, meanGap: 1500 * time.Millisecond}
 	sub := flaggy.NewSubcommand("soak")
 	sub.Description = "Run nodes as processes on loopback, disturb them by a random plan of operations and faults, and check the guarantees."
 	sub.String(&f.binary, "b", "binary", "Binary to test; default is this one.")
@@ -35,20 +35,28 @@
 	sub.Int(&f.keyedNodes, "", "keyed", "Number of nodes whose backend servers divide keys among them.")
 	sub.Int(&f.plainNodes, "", "plain", "Number of nodes whose backend servers have no keys.")
 	sub.Int(&f.requestRate, "r", "rate", "Requests per second of all callers together.")
+	sub.Int(&f.callersPerNode, "", "callers", "Number of callers on each node; each keeps a connection open.")
 	sub.Duration(&f.disturbFor, "t", "trouble", "Period during which new disturbances start.")
 	sub.Duration(&f.meanGap, "g", "gap", "Mean time between two disturbances.")
 	sub.Bool(&f.plannedOnly, "p", "planned", "Only planned operations, during which no request may be cut off.")
+	sub.String(&f.kinds, "k", "kinds", "Kinds of disturbances, separated by commas; default is all.")
+	sub.Bool(&f.overlap, "o", "overlap", "Only planned operations, in bursts that stop several nodes while others restart, reload and get configurations.")
+	sub.Bool(&f.slow, "", "slow", "Give each process one processor, in short turns.")
 	sub.Bool(&f.verbose, "v", "verbose", "Print each disturbance.")
 	return command{sub, f.run}
 }
 
 func (f *soakFlags) run(ctx context.Context, o streams) int {
-	if f.keyedNodes < 1 || f.plainNodes < 1 || f.requestRate < 1 || f.seedCount < 1 || f.disturbFor <= 0 || f.meanGap <= 0 {
-		return o.fail(exitUsage, &soak.OptionsError{Detail: "keyed, plain, rate, seeds, trouble and gap must be positive"})
+	if f.keyedNodes < 1 || f.plainNodes < 1 || f.requestRate < 1 || f.callersPerNode < 1 || f.seedCount < 1 || f.disturbFor <= 0 || f.meanGap <= 0 {
+		return o.fail(exitUsage, &soak.OptionsError{Detail: "keyed, plain, rate, callers, seeds, trouble and gap must be positive"})
 	}
 	if err := f.setDefaults(); err != nil {
 		return o.fail(exitFailure, err)
 	}
+	kinds, err := soak.ParseKinds(f.kinds)
+	if err != nil {
+		return o.fail(exitUsage, err)
+	}
 	out := io.Discard
 	if f.verbose {
 		out = o.stdout
@@ -58,8 +66,8 @@
 	for i := range f.seedCount {
 		seed := f.firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{
-			Binary: f.binary, Dir: filepath.Join(f.dir, strconv.FormatUint(seed, 10)), Seed: seed, PerSecond: f.requestRate, Out: out,
-			Shape: soak.Shape{Keyed: f.keyedNodes, Plain: f.plainNodes, Trouble: f.disturbFor, Planned: f.plannedOnly, Gap: f.meanGap},
+			Binary: f.binary, Dir: filepath.Join(f.dir, strconv.FormatUint(seed, 10)), Seed: seed, PerSecond: f.requestRate, CallersPerNode: f.callersPerNode, Out: out,
+			Shape: soak.Shape{Keyed: f.keyedNodes, Plain: f.plainNodes, Trouble: f.disturbFor, Planned: f.plannedOnly, Overlap: f.overlap, Slow: f.slow, Kinds: kinds, Gap: f.meanGap},
 		})
 		if err != nil {
 			return o.fail(exitFailure, err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -19,11 +18,10 @@
 	// clientTimeout how long it actually waits for the complete response.
 	requestTimeout = 2 * time.Second
 	clientTimeout  = 3 * time.Second
-	// callersPerNode is the number of callers that share the request rate of
-	// one node.
-	callersPerNode = 4
 	// uploadBytes is the body size of an upload.
 	uploadBytes = 48 << 10
+	// One in closeOneIn requests asks the node to close its connection.
+	closeOneIn = 16
 )
 
 // attemptSequence makes the attempt IDs unique within the process.
@@ -38,27 +36,31 @@
 // startCallers starts the callers of each node. A caller sends one request per
 // interval, and none while its previous request is still running.
 func (r *run) startCallers(ctx context.Context, callers *sync.WaitGroup) {
-	interval := time.Duration(len(r.vms)*callersPerNode) * time.Second / time.Duration(r.opts.PerSecond)
+	perNode := r.opts.CallersPerNode
+	interval := time.Duration(len(r.vms)*perNode) * time.Second / time.Duration(r.opts.PerSecond)
 	for index, v := range r.vms {
-		for n := range callersPerNode {
-			source := rand.NewPCG(r.opts.Seed, uint64(index*callersPerNode+n))
-			c := &caller{r, v, rand.New(source), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+		for n := range perNode {
+			source := rand.NewPCG(r.opts.Seed, uint64(index*perNode+n))
+			c := &caller{run: r, vm: v, rng: rand.New(source)}
 			callers.Go(func() { c.sendRequests(ctx, interval) })
 		}
 	}
 }
 
-// caller sends requests to the node of its VM. It keeps its connection open,
-// except after requests that must be executed at most once.
+// caller sends requests to the node of its VM. It uses its connection until the
+// node closes it or announces that, also while the node stops.
 type caller struct {
 	*run
-	vm     *vm
-	rng    *rand.Rand
-	client *http.Client
+	vm   *vm
+	rng  *rand.Rand
+	conn *callerConn // nil when the caller has no connection
 }
 
 func (c *caller) sendRequests(ctx context.Context, interval time.Duration) {
-	defer c.client.CloseIdleConnections()
+	defer c.closeConn()
+	if !c.sleep(ctx, time.Duration(c.rng.Int64N(int64(interval)))) { // so that callers do not send in step
+		return
+	}
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	var notBefore time.Time // set by the Retry-After of a refusal
@@ -74,66 +76,84 @@
 	}
 }
 
+func (c *caller) closeConn() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// requestKinds are the kinds of requests that callers send.
+var requestKinds = []struct {
+	method, path, service string
+	atMostOnce            bool
+}{
+	{http.MethodGet, "/look/", keyedService, false},
+	{http.MethodPost, "/enter/", keyedService, true},
+	{http.MethodPost, "/sheet/", plainService, true},
+	{http.MethodGet, "/list/", plainService, false},
+}
+
 // sendRequest sends one request of a random kind, records its start and end,
 // and returns how long the caller must wait before its next request.
 func (c *caller) sendRequest(ctx context.Context) time.Duration {
-	requestKinds := []struct {
-		method, path, service string
-		atMostOnce            bool
-	}{
-		{http.MethodGet, "/look/", keyedService, false},
-		{http.MethodPost, "/enter/", keyedService, true},
-		{http.MethodPost, "/sheet/", plainService, true},
-		{http.MethodGet, "/list/", plainService, false},
-	}
 	kind := requestKinds[c.rng.IntN(len(requestKinds))]
 	id := c.newAttemptID(c.vm, "r")
-	target := kind.path + id
-	body := ""
+	q := nodeRequest{method: kind.method, target: kind.path + id, id: id, timeout: requestTimeout, closeConn: c.rng.IntN(closeOneIn) == 0}
 	if kind.path == "/sheet/" {
-		body = strings.Repeat("x", uploadBytes)
-	}
-	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, kind.method, fmt.Sprintf("http://%s:%d%s", c.vm.ip, wire.PortOutbound, target), strings.NewReader(body))
-	if err != nil {
-		c.fail(wrapError("build a caller's request", err))
-		return 0
+		q.body = strings.Repeat("x", uploadBytes)
 	}
-	req.Host, req.Close = routeHost, kind.atMostOnce
-	req.Header.Set(wire.HeaderAttemptID, id)
-	req.Header.Set(wire.HeaderTimeout, fmt.Sprint(requestTimeout.Milliseconds()))
 	if kind.service == keyedService {
-		req.Header.Set(wire.HeaderKey, fmt.Sprint(c.rng.IntN(keyCount)))
+		q.key = fmt.Sprint(c.rng.IntN(keyCount))
 	}
-	c.record(SentRequest{c.elapsed(), id, kind.service, target, kind.atMostOnce})
-	end := RequestEnd{ID: id, Target: target}
-	retryAfter := c.roundTrip(req, &end)
+	c.dropEndedConn()
+	c.record(SentRequest{c.elapsed(), id, kind.service, q.target, kind.atMostOnce})
+	end := RequestEnd{ID: id, Target: q.target}
+	retryAfter := c.roundTrip(ctx, q, &end)
 	end.At = c.elapsed()
-	if ctx.Err() == context.Canceled {
+	if ctx.Err() != nil {
 		return 0 // the end of the run cut the request off
 	}
 	c.record(end)
 	return retryAfter
 }
 
-// roundTrip sends a request and fills in the outcome. It returns the Retry-After
-// of the response, or 0.
-func (c *caller) roundTrip(req *http.Request, end *RequestEnd) time.Duration {
-	resp, err := c.client.Do(req)
-	if err != nil {
-		end.Reason = err.Error()
-		end.NotConnected = strings.Contains(end.Reason, "connection refused") || strings.Contains(end.Reason, "dial tcp")
-		return 0
+// dropEndedConn closes the kept connection if the node has closed it, and
+// records bytes that it sent without a request.
+func (c *caller) dropEndedConn() {
+	if c.conn == nil {
+		return
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		end.Reason = err.Error()
+	closed, unsolicited := c.conn.idleState()
+	if unsolicited > 0 {
+		c.record(UnsolicitedBytes{c.elapsed(), c.vm.name, unsolicited})
+	}
+	if closed || unsolicited > 0 {
+		c.closeConn()
+	}
+}
+
+// roundTrip sends a request on the kept connection or a new one, and fills in
+// the outcome. It returns the Retry-After of the response, or 0.
+func (c *caller) roundTrip(ctx context.Context, q nodeRequest, end *RequestEnd) time.Duration {
+	if c.conn == nil {
+		conn, err := dialNode(fmt.Sprintf("%s:%d", c.vm.ip, wire.PortOutbound))
+		if err != nil {
+			end.Reason, end.NotConnected = err.Error(), true
+			return 0
+		}
+		c.conn = conn
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(clientTimeout))
+	conn := c.conn
+	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
+	resp := c.conn.exchange(q, end)
+	if resp == nil || resp.Close || q.closeConn {
+		c.closeConn()
+	}
+	if resp == nil {
 		return 0
 	}
-	end.Status, end.Body = resp.StatusCode, string(data)
-	end.Signed = resp.Header.Get(wire.HeaderSignature) != ""
 	retryAfter, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
 	if err != nil {
 		return 0
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -21,6 +21,8 @@
 	// requestReadTime is the time within which a node has read a request that
 	// was sent to it. A request that was cut off earlier may not have been read.
 	requestReadTime = 200 * time.Millisecond
+	// signedFailure is the only failure that backend servers sign.
+	signedFailure = 500
 	// retryBudgetRatio, retryBudgetMin and retryBudgetWindow are the retry
 	// budget in the settings of every node: within a window, at most the ratio
 	// times the number of requests, plus the minimum.
@@ -63,11 +65,24 @@
 	Reason string
 	// NotConnected is set when no connection to the node was established.
 	NotConnected bool
+	// ReadByNode is set when the caller got no complete response although the
+	// node had read the whole request.
+	ReadByNode bool
+	// AnswerID is the attempt ID in the response, if it has one.
+	AnswerID string
 	// Signed is set when the response carries a signature.
 	Signed       bool
 	Target, Body string
 }
 
+// UnsolicitedBytes records bytes that a node sent to a caller that had no
+// request waiting on the connection.
+type UnsolicitedBytes struct {
+	At    time.Duration
+	Node  string
+	Count int
+}
+
 // RequestStart records that a backend server began to execute a request.
 type RequestStart struct {
 	At             time.Duration
@@ -227,6 +242,12 @@
 func (e RequestEnd) apply(c *Checker) {
 	r := c.requests[e.ID]
 	r.ended, r.status = true, e.Status
+	if e.Status != 0 && e.AnswerID != "" && e.AnswerID != e.ID {
+		c.addViolation(e.At, "mixed", "%s got status %d with the attempt ID %q", e.ID, e.Status, e.AnswerID)
+	}
+	if e.Signed && e.Status != signedFailure && e.Status >= 300 {
+		c.addViolation(e.At, "mixed", "%s got status %d with the signature of another response", e.ID, e.Status)
+	}
 	switch {
 	case e.Status == 0 && e.NotConnected:
 		c.counts.Cut++
@@ -255,6 +276,10 @@
 	}
 }
 
+func (e UnsolicitedBytes) apply(c *Checker) {
+	c.addViolation(e.At, "mixed", "%s sent %d bytes on a connection without a waiting request", e.Node, e.Count)
+}
+
 func (e SlotOverrun) apply(c *Checker) {
 	c.addViolation(e.At, "slots", "%s runs %d requests at once in %d slots", e.Server, e.Running, e.Slots)
 }
@@ -354,7 +379,7 @@
 func (c *Checker) Finish() ([]Violation, Counts) {
 	for _, e := range c.cutRequests {
 		r := c.requests[e.ID]
-		mayHaveBeenRead := len(r.starts) > 0 || e.At-r.At > requestReadTime
+		mayHaveBeenRead := len(r.starts) > 0 || e.ReadByNode || e.At-r.At > requestReadTime
 		if mayHaveBeenRead && c.isFaultFree(r.At, e.At) {
 			c.addViolation(e.At, "lost", "%s, sent at %.2fs, got no complete response: %s", e.ID, r.At.Seconds(), e.Reason)
 		}
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -18,7 +18,7 @@
 }
 
 func requestEnd(id string, status int) RequestEnd {
-	return RequestEnd{At: 1200 * time.Millisecond, ID: id, Status: status, Signed: true, Target: "/enter/" + id, Body: "POST /enter/" + id + " 0 prices"}
+	return RequestEnd{At: 1200 * time.Millisecond, ID: id, Status: status, Signed: status == 200, Target: "/enter/" + id, Body: "POST /enter/" + id + " 0 prices"}
 }
 
 func rangeWithFence(from, to int, fence int64) []keyed.KeyRange {
@@ -54,6 +54,10 @@
 		"no signature":                {"mixed", []Event{sentRequest("a", true), requestStart("a", "s1"), endWith(func(e *RequestEnd) { e.Signed = false })}},
 		"response of another request": {"mixed", []Event{sentRequest("a", true), requestStart("a", "s1"), endWith(func(e *RequestEnd) { e.Body = "POST /enter/b 0 prices" })}},
 		"response without execution":  {"mixed", []Event{sentRequest("a", true), requestEnd("a", 200)}},
+		"answer with another ID":      {"mixed", []Event{sentRequest("a", true), requestStart("a", "s1"), endWith(func(e *RequestEnd) { e.Status, e.Signed, e.AnswerID = 502, false, "b" })}},
+		"signature of another answer": {"mixed", []Event{sentRequest("a", true), requestStart("a", "s1"), endWith(func(e *RequestEnd) { e.Status = 502 })}},
+		"bytes without a request":     {"mixed", []Event{UnsolicitedBytes{second, "node-1", 64}}},
+		"cut off after it was read":   {"lost", []Event{sentRequest("a", true), endWith(func(e *RequestEnd) { e.At, e.Status, e.Signed, e.ReadByNode = second, 0, false, true })}},
 		"more than slots":             {"slots", []Event{SlotOverrun{second, "s1", 9, 8}}},
 		"process failure":             {"process", []Event{ProcessFailure{second, "node-1", "exit status 2"}}},
 		"keys not held":               {"recovery", []Event{FailedRecovery{second, "64 keys have no holder"}}},
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -5,7 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
+
+	"marjoramshore.example/standin/keyed"
+	"marjoramshore.example/standin/objects"
 )
 
 // Kind is a kind of disturbance: planned work or a fault.
@@ -53,6 +58,10 @@
 	StoreDeaf
 	// Misbehave makes a backend server fail requests.
 	Misbehave
+	// Throttle gives a node's process processor time in short turns only.
+	Throttle
+	// StoreGarble makes the store send bytes that are no responses.
+	StoreGarble
 	kindCount // number of kinds
 )
 
@@ -60,7 +69,7 @@
 
 var kindNames = [kindCount]string{
 	"restart", "reload", "configure", "leave", "kill", "pause", "crash", "cut-in", "cut-back", "mute", "reset-in", "slow-in",
-	"cut-store", "store-down", "store-slow", "store-lost", "store-forget", "store-deaf", "misbehave",
+	"cut-store", "store-down", "store-slow", "store-lost", "store-forget", "store-deaf", "misbehave", "throttle", "store-garble",
 }
 
 // String returns the name of the kind in plans and reports.
@@ -81,7 +90,22 @@
 
 // String returns the line that logs and reports show for the step.
 func (s Step) String() string {
-	return fmt.Sprintf("%.1fs %s node %d for %.1fs", s.At.Seconds(), s.Kind, s.Node, s.Duration.Seconds())
+	name := s.Kind.String()
+	switch s.Kind {
+	case Misbehave:
+		name += "=" + s.serverFault().String()
+	case StoreGarble:
+		name += "=" + s.storeFault().String()
+	}
+	return fmt.Sprintf("%.1fs %s node %d for %.1fs", s.At.Seconds(), name, s.Node, s.Duration.Seconds())
+}
+
+// serverFault returns the fault of a Misbehave step.
+func (s Step) serverFault() keyed.Fault { return keyed.Fault(1 + s.Variant%(keyed.FaultCount-1)) }
+
+// storeFault returns the fault of a StoreGarble step.
+func (s Step) storeFault() objects.Fault {
+	return objects.Fault(1 + s.Variant%(objects.FaultCount-1))
 }
 
 // Shape is the size of a run and the type and rate of its disturbances.
@@ -93,10 +117,53 @@
 	Trouble time.Duration
 	// Planned restricts the plan to planned work.
 	Planned bool
-	// Gap is the mean time between two disturbances.
+	// Overlap makes the plan one of planned work in bursts, which stop several
+	// nodes while others are restarted, reloaded and reconfigured.
+	Overlap bool
+	// Slow gives the processes one processor each, in short turns, during the
+	// whole run.
+	Slow bool
+	// Kinds restricts a plan without Overlap to these kinds, if it is not empty.
+	Kinds []Kind
+	// Gap is the mean time between two disturbances, or bursts.
 	Gap time.Duration
 }
 
+// onlyPlanned reports whether the plan has no faults, so that no link to a node
+// is disturbed.
+func (s Shape) onlyPlanned() bool { return s.Planned || s.Overlap }
+
+// allowedKinds returns the kinds that a plan without Overlap draws from.
+func (s Shape) allowedKinds() []Kind {
+	if len(s.Kinds) > 0 && !s.onlyPlanned() {
+		return s.Kinds
+	}
+	var kinds []Kind
+	for k := range kindCount {
+		if k.Planned() || !s.Planned {
+			kinds = append(kinds, k)
+		}
+	}
+	return kinds
+}
+
+// ParseKinds parses the names of kinds, separated by commas. No names are no
+// restriction.
+func ParseKinds(names string) ([]Kind, error) {
+	var kinds []Kind
+	for name := range strings.SplitSeq(names, ",") {
+		if name == "" {
+			continue
+		}
+		k := slices.Index(kindNames[:], name)
+		if k < 0 {
+			return nil, &OptionsError{"no kind is named " + strconv.Quote(name)}
+		}
+		kinds = append(kinds, Kind(k))
+	}
+	return kinds, nil
+}
+
 // Nodes returns the number of nodes.
 func (s Shape) Nodes() int { return s.Keyed + s.Plain }
 
@@ -118,17 +185,17 @@
 // and shape give the same steps.
 func Plan(seed uint64, shape Shape) []Step {
 	rng := rand.New(rand.NewPCG(seed, seed^0x6d61726a))
-	kindsAllowed := int(kindCount)
-	if shape.Planned {
-		kindsAllowed = int(lastPlanned) + 1
+	if shape.Overlap {
+		return planBursts(rng, shape)
 	}
+	kinds := shape.allowedKinds()
 	var steps []Step
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.ExpFloat64() * float64(shape.Gap))
 		if at >= shape.Trouble {
 			break
 		}
-		kind, node := Kind(rng.IntN(kindsAllowed)), rng.IntN(shape.Nodes())
+		kind, node := kinds[rng.IntN(len(kinds))], rng.IntN(shape.Nodes())
 		count := 1
 		if rng.IntN(seriesOneIn) == 0 {
 			count = 1 + rng.IntN(maxSeriesSteps)
@@ -143,3 +210,48 @@
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
+
+const (
+	// burstNodesOneIn sets how many nodes a burst stops at most: one in
+	// burstNodesOneIn.
+	burstNodesOneIn = 4
+	// burstSpread is the time within which the steps of a burst start.
+	burstSpread = 1500 * time.Millisecond
+	// One in repeatOneIn stopped nodes gets a second SIGTERM, within
+	// gracePeriod after the first.
+	repeatOneIn = 2
+	// maxBurstConfigs bounds the configurations that one burst publishes.
+	maxBurstConfigs = 3
+)
+
+// planBursts returns the steps of an Overlap shape. In each burst some nodes are
+// stopped, some of them repeatedly, as many others are reloaded, backend servers
+// leave, and configurations are published.
+func planBursts(rng *rand.Rand, shape Shape) []Step {
+	var steps []Step
+	add := func(kind Kind, at time.Duration, node int) {
+		steps = append(steps, Step{At: at, Kind: kind, Node: node})
+	}
+	for at := time.Duration(0); at < shape.Trouble; at += time.Duration((0.5 + rng.Float64()) * float64(shape.Gap)) {
+		within := func(d time.Duration) time.Duration { return at + time.Duration(rng.Int64N(int64(d))) }
+		order := rng.Perm(shape.Nodes())
+		stopped := 1 + rng.IntN(max(1, shape.Nodes()/burstNodesOneIn))
+		for i, node := range order {
+			switch {
+			case i < stopped:
+				add(Restart, within(burstSpread), node)
+				if rng.IntN(repeatOneIn) == 0 {
+					add(Restart, within(gracePeriod), node)
+				}
+			case i < 2*stopped:
+				add(Reload, within(burstSpread), node)
+			}
+		}
+		add(Leave, within(burstSpread), order[rng.IntN(len(order))])
+		for range 1 + rng.IntN(maxBurstConfigs) {
+			add(Configure, within(burstSpread), order[0])
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
--- a/soak/report.go
+++ b/soak/report.go
@@ -27,8 +27,8 @@
 // Print writes one line with the totals of the run, and one for each violation.
 func (r Result) Print(w io.Writer) {
 	c := r.Counts
-	fmt.Fprintf(w, "seed=%d nodes=%d seconds=%.0f steps=%d sent=%d answered=%d refused=%d failed=%d cut=%d grants=%d violations=%d\n",
-		r.Seed, r.Shape.Nodes(), r.Took.Seconds(), len(r.Steps), c.Sent, c.Answered, c.Refused, c.Failed, c.Cut, c.Grants, len(r.Violations))
+	fmt.Fprintf(w, "seed=%d nodes=%d seconds=%.0f steps=%d sent=%d answered=%d refused=%d failed=%d cut=%d grants=%d memory_mb=%d violations=%d\n",
+		r.Seed, r.Shape.Nodes(), r.Took.Seconds(), len(r.Steps), c.Sent, c.Answered, c.Refused, c.Failed, c.Cut, c.Grants, r.MaxMemoryMB, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintln(w, "  ", v)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -52,6 +52,9 @@
 	Shape Shape
 	// PerSecond is the request rate of all callers together.
 	PerSecond int
+	// CallersPerNode is the number of callers that share the request rate of
+	// one node. Each keeps a connection open.
+	CallersPerNode int
 	// Out receives a line for each disturbance.
 	Out io.Writer
 }
@@ -64,6 +67,8 @@
 	Steps      []Step
 	Violations []Violation
 	Counts     Counts
+	// MaxMemoryMB is the greatest memory that a process used.
+	MaxMemoryMB int
 }
 
 // run is the state of one run. The goroutine that calls Run executes the plan;
@@ -83,6 +88,10 @@
 	// scheduled are the goroutines of runAfter, which end disturbances and run
 	// delayed checks.
 	scheduled sync.WaitGroup
+	// scheduledTurns are the goroutines that throttle processes.
+	scheduledTurns sync.WaitGroup
+	// maxMemoryMB is the greatest memory of a process; checkMemory sets it.
+	maxMemoryMB int
 }
 
 // elapsed returns the time since the start of the run.
@@ -150,7 +159,7 @@
 	if failure := r.firstError.Load(); err == nil && failure != nil {
 		err = *failure
 	}
-	result.Took = r.elapsed()
+	result.Took, result.MaxMemoryMB = r.elapsed(), r.maxMemoryMB
 	result.Violations, result.Counts = r.checker.Finish()
 	return result, err
 }
@@ -160,6 +169,7 @@
 func (r *run) execute(ctx context.Context, cancel context.CancelFunc, steps []Step) error {
 	r.publishConfig()
 	defer r.close()
+	defer cancel()
 	for index := range r.opts.Shape.Nodes() {
 		service := keyedService
 		if index >= r.opts.Shape.Keyed {
@@ -181,6 +191,7 @@
 	defer callers.Wait()
 	defer cancel()
 	r.startCallers(ctx, &callers)
+	callers.Go(func() { r.checkMemory(ctx) })
 	from := r.elapsed()
 	for _, s := range steps {
 		if !r.sleep(ctx, from+s.At-r.elapsed()) {
@@ -265,6 +276,7 @@
 
 // close stops all processes and backend servers.
 func (r *run) close() {
+	r.scheduledTurns.Wait()
 	var goroutines sync.WaitGroup
 	for _, v := range r.vms {
 		goroutines.Go(v.close)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,7 +29,7 @@
 func runSeed(t *testing.T, binary string, seed uint64, shape Shape) Result {
 	dir := t.TempDir()
 	var steps bytes.Buffer
-	result, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: seed, Shape: shape, PerSecond: 100, Out: &steps})
+	result, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: seed, Shape: shape, PerSecond: 100, CallersPerNode: 4, Out: &steps})
 	must.NoError(t, err)
 	if len(result.Violations) > 0 {
 		logDir, err := os.MkdirTemp("", "soak-failed-")
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"marjoramshore.example/standin/keyed"
+	"marjoramshore.example/standin/objects"
 	"marjoramshore.example/standin/wire"
 )
 
@@ -78,6 +80,10 @@
 	case Mute:
 		r.setMuted(v.addr(), true)
 		r.runAfter(s.Duration, func() { r.setMuted(v.addr(), false) })
+	case Throttle:
+		ctx, cancel := context.WithTimeout(r.ctx, s.Duration)
+		v.startThrottle(ctx)
+		r.runAfter(s.Duration, cancel)
 	default:
 		r.disturbStore(v, s)
 	}
@@ -101,8 +107,7 @@
 	}
 	v.signal(syscall.SIGTERM)
 	r.runAfter(gracePeriod, func() {
-		if v.process.Load() == process {
-			v.signal(syscall.SIGKILL)
+		if process.Signal(syscall.SIGKILL) == nil { // else it has exited
 			r.record(ProcessFailure{r.elapsed(), v.name, "still running after the grace period"})
 		}
 	})
@@ -119,9 +124,8 @@
 // injectServerFault makes the backend server of a VM fail in the way that the
 // step's variant selects.
 func (r *run) injectServerFault(v *vm, s Step) {
-	faults := []keyed.Fault{keyed.NeverAnswer, keyed.CloseConnection, keyed.AnswerTwice, keyed.OmitSignature, keyed.TruncateAnswer, keyed.AnswerError}
 	server := v.server
-	server.SetFault(faults[s.Variant%len(faults)])
+	server.SetFault(s.serverFault())
 	r.runAfter(s.Duration, func() { server.SetFault(keyed.NoFault) })
 }
 
@@ -174,6 +178,9 @@
 		r.store.LoseAnswers(lostAnswers)
 	case StoreForget:
 		r.store.DropHistory()
+	case StoreGarble:
+		r.store.SetFault(s.storeFault())
+		restore = func() { r.store.SetFault(objects.NoFault) }
 	case StoreDeaf:
 		r.store.SuppressEvents(true)
 		restore = func() { r.store.SuppressEvents(false) }
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -29,6 +31,8 @@
 	workTime = 25 * time.Millisecond
 	// restartDelay is the time between the exit of a process and its restart.
 	restartDelay = 200 * time.Millisecond
+	// memoryInterval is the interval of the checks of memory.
+	memoryInterval = 500 * time.Millisecond
 )
 
 // settingsBounds are the limits in the settings file of every node.
@@ -42,14 +46,17 @@
 	run          *run
 	name         string
 	service      string
-	ip, proxyIP  string // the links listen on proxyIP, which the node advertises
+	ip, proxyIP  string // the links listen on proxyIP
 	settingsFile string
 	logFile      *os.File
 
-	inboundLink, peerLink, storeLink *link
-	beacons                          *beaconRelay
-	server                           *keyed.Server
-	serverStarts                     int // number of instances so far
+	storeLink *link
+	// inboundLink, peerLink and beacons are nil in a run without faults, whose
+	// nodes reach each other without them.
+	inboundLink, peerLink *link
+	beacons               *beaconRelay
+	server                *keyed.Server
+	serverStarts          int // number of instances so far
 
 	// process is the latest process of the node; supervise replaces it.
 	process  atomic.Pointer[os.Process]
@@ -82,19 +89,24 @@
 		return nil, wrapError("create the log file of a node", err)
 	}
 	hostPort := func(ip string, port int) string { return ip + ":" + strconv.Itoa(port) }
-	if v.inboundLink, err = newLink(hostPort(v.proxyIP, wire.PortInbound), hostPort(v.ip, wire.PortInbound)); err != nil {
-		return nil, err
-	}
-	if v.peerLink, err = newLink(hostPort(v.proxyIP, wire.PortPeers), hostPort(v.ip, wire.PortPeers)); err != nil {
-		return nil, err
-	}
 	if v.storeLink, err = newLink(hostPort(v.proxyIP, wire.PortStore), r.store.Addr()); err != nil {
 		return nil, err
 	}
-	if v.beacons, err = newBeaconRelay(hostPort(v.proxyIP, wire.PortPeers), hostPort(v.ip, wire.PortPeers), &r.mutedHosts); err != nil {
-		return nil, err
+	if !r.opts.Shape.onlyPlanned() {
+		if v.inboundLink, err = newLink(hostPort(v.proxyIP, wire.PortInbound), hostPort(v.ip, wire.PortInbound)); err != nil {
+			return nil, err
+		}
+		if v.peerLink, err = newLink(hostPort(v.proxyIP, wire.PortPeers), hostPort(v.ip, wire.PortPeers)); err != nil {
+			return nil, err
+		}
+		if v.beacons, err = newBeaconRelay(hostPort(v.proxyIP, wire.PortPeers), hostPort(v.ip, wire.PortPeers), &r.mutedHosts); err != nil {
+			return nil, err
+		}
 	}
 	v.supervisor.Go(v.supervise)
+	if r.opts.Shape.Slow {
+		v.startThrottle(r.ctx)
+	}
 	return v, v.startServer()
 }
 
@@ -125,8 +137,11 @@
 // does.
 func (v *vm) supervise() {
 	for !v.stopping.Load() {
-		cmd := exec.Command(v.run.opts.Binary, "sidecar", "--advertise", v.proxyIP)
+		cmd := exec.Command(v.run.opts.Binary, "sidecar", "--advertise", v.advertisedIP())
 		cmd.Env = []string{wire.SettingsVariable + "=" + v.settingsFile}
+		if v.run.opts.Shape.Slow {
+			cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
+		}
 		cmd.Stdout, cmd.Stderr = v.logFile, v.logFile
 		if err := cmd.Start(); err != nil {
 			v.run.fail(wrapError("start the process of a node", err))
@@ -167,12 +182,78 @@
 	v.supervisor.Wait()
 	timer.Stop()
 	v.server.Crash()
-	for _, l := range []*link{v.inboundLink, v.peerLink, v.storeLink} {
-		l.close()
+	v.storeLink.close()
+	if v.inboundLink != nil {
+		v.inboundLink.close()
+		v.peerLink.close()
+		v.beacons.close()
 	}
-	v.beacons.close()
 	_ = v.logFile.Close()
 }
 
+// advertisedIP returns the address at which other nodes reach the node.
+func (v *vm) advertisedIP() string {
+	if v.run.opts.Shape.onlyPlanned() {
+		return v.ip
+	}
+	return v.proxyIP
+}
+
+// checkMemory records a failure of each process that uses more memory than its
+// settings allow, until the end of the run.
+func (r *run) checkMemory(ctx context.Context) {
+	reported := map[*os.Process]bool{}
+	for r.sleep(ctx, memoryInterval) {
+		for _, v := range r.vms {
+			process := v.process.Load()
+			if process == nil || reported[process] {
+				continue
+			}
+			used := residentMB(process.Pid)
+			r.maxMemoryMB = max(r.maxMemoryMB, used)
+			if used > wire.MemoryLimitMB {
+				reported[process] = true
+				r.record(ProcessFailure{r.elapsed(), v.name, fmt.Sprintf("uses %d MB of memory, %d are allowed", used, wire.MemoryLimitMB)})
+			}
+		}
+	}
+}
+
+// residentMB returns the resident memory of a process in MB, or 0 if it has
+// exited.
+func residentMB(pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if n, _ := fmt.Sscan(string(data), &size, &resident); n < 2 {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
+const (
+	// A throttled process runs for at most maxRunTurn, and is then stopped for
+	// at most maxStopTurn.
+	maxRunTurn  = 10 * time.Millisecond
+	maxStopTurn = 60 * time.Millisecond
+)
+
+// startThrottle gives the process of the node processor time in short turns of
+// random length until ctx ends.
+func (v *vm) startThrottle(ctx context.Context) {
+	v.run.scheduledTurns.Go(func() {
+		for v.run.sleep(ctx, rand.N(maxRunTurn)) {
+			v.signal(syscall.SIGSTOP)
+			goesOn := v.run.sleep(ctx, rand.N(maxStopTurn))
+			v.signal(syscall.SIGCONT)
+			if !goesOn {
+				return
+			}
+		}
+	})
+}
+
 // addr returns the IP address from which the node sends.
 func (v *vm) addr() netip.Addr { return netip.MustParseAddr(v.ip) }
