--- a/soak/run.go
+++ b/soak/run.go
@@ -55,6 +55,9 @@
 	// CallersPerNode is the number of callers that share the request rate of
 	// one node. Each keeps a connection open.
 	CallersPerNode int
+	// FirstAddress is the number of the first address of the run. Runs of one
+	// process that overlap in time need separate addresses.
+	FirstAddress int
 	// Out receives a line for each disturbance.
 	Out io.Writer
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,10 +26,11 @@
 
 // runSeed runs one seed and fails the test on a violation. It then keeps the
 // logs of the processes in a directory that outlives the test.
-func runSeed(t *testing.T, binary string, seed uint64, shape Shape) Result {
+func runSeed(t *testing.T, opts Options) {
 	dir := t.TempDir()
-	var steps bytes.Buffer
-	result, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: seed, Shape: shape, PerSecond: 100, CallersPerNode: 4, Out: &steps})
+	var steps, page bytes.Buffer
+	opts.Dir, opts.Out, opts.Seed, opts.PerSecond, opts.CallersPerNode = dir, &steps, 20261204, 100, 8
+	result, err := Run(t.Context(), opts)
 	must.NoError(t, err)
 	if len(result.Violations) > 0 {
 		logDir, err := os.MkdirTemp("", "soak-failed-")
@@ -39,23 +40,26 @@
 	}
 	must.SliceEmpty(t, result.Violations)
 	must.Positive(t, result.Counts.Answered)
-	return result
+	must.NoError(t, WriteHTML(&page, []Result{result}))
+	must.StrContains(t, page.String(), "No guarantee was violated")
+	must.False(t, strings.Contains(page.String(), "http://"), must.Sprint("the page refers to another resource"))
 }
 
 // Guards the guarantees of the product with real processes under faults: one
 // holder for each key, no second execution of a request, no execution of a
 // refused request, complete responses, drains, configuration changes, the retry
-// budget, and recovery.
+// budget, and recovery. The last shape has bursts of overlapping stops on slow
+// VMs. The runs have separate addresses and take place at the same time.
 func TestShortSoak(t *testing.T) {
 	binary := buildBinary(t)
-	for _, shape := range []Shape{
+	for i, shape := range []Shape{
 		{Keyed: 3, Plain: 2, Trouble: 8 * time.Second, Gap: 700 * time.Millisecond},
 		{Keyed: 3, Plain: 2, Trouble: 8 * time.Second, Gap: 700 * time.Millisecond, Planned: true},
+		{Keyed: 3, Plain: 2, Trouble: 8 * time.Second, Gap: 3 * time.Second, Overlap: true, Slow: true},
 	} {
-		result := runSeed(t, binary, 20261204, shape)
-		var page bytes.Buffer
-		must.NoError(t, WriteHTML(&page, []Result{result}))
-		must.StrContains(t, page.String(), "No guarantee was violated")
-		must.False(t, strings.Contains(page.String(), "http://"), must.Sprint("the page refers to another resource"))
+		t.Run([]string{"Faults", "Planned", "OverlappingStops"}[i], func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, Options{Binary: binary, Shape: shape, FirstAddress: i * shape.Nodes()})
+		})
 	}
 }
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -31,6 +31,9 @@
 	workTime = 25 * time.Millisecond
 	// restartDelay is the time between the exit of a process and its restart.
 	restartDelay = 200 * time.Millisecond
+	// maxParallelNodes is the number of nodes up to which each process may use
+	// all processors.
+	maxParallelNodes = 20
 	// memoryInterval is the interval of the checks of memory.
 	memoryInterval = 500 * time.Millisecond
 )
@@ -77,7 +80,7 @@
 // newVM writes the settings of a node and starts its links, its process and its
 // backend server.
 func newVM(r *run, index int, service string) (*vm, error) {
-	v := &vm{run: r, name: fmt.Sprintf("node-%d", index), service: service, ip: loopbackIP(0, index), proxyIP: loopbackIP(1, index)}
+	v := &vm{run: r, name: fmt.Sprintf("node-%d", index), service: service, ip: loopbackIP(0, r.opts.FirstAddress+index), proxyIP: loopbackIP(1, r.opts.FirstAddress+index)}
 	v.settingsFile = filepath.Join(r.opts.Dir, v.name+".conf")
 	dataCentre := string(rune('a' + index%3))
 	settings := wire.VM{Node: v.name, DataCentre: dataCentre, IP: v.ip, Service: service, Store: v.proxyIP}.EncodeSettings(settingsBounds)
@@ -139,7 +142,7 @@
 	for !v.stopping.Load() {
 		cmd := exec.Command(v.run.opts.Binary, "sidecar", "--advertise", v.advertisedIP())
 		cmd.Env = []string{wire.SettingsVariable + "=" + v.settingsFile}
-		if v.run.opts.Shape.Slow {
+		if shape := v.run.opts.Shape; shape.Slow || shape.Nodes() > maxParallelNodes {
 			cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
 		}
 		cmd.Stdout, cmd.Stderr = v.logFile, v.logFile
