frontend: serve further requests of a connection until the stop has ended

Callers of a stopping node lost requests that followed a response whose head had been sent before the stop, and so did not announce the end of the connection: the next request on it was read and got no answer.

Cause: when the listener is closed, Accept fails, hertz counts as stopped and closes each connection after its present request, also when it has read the next one. Class: a connection is closed by a part that does not know of the request that was read from it.

Accept now returns the error only when the drain has ended. Until then hertz goes on to the next request, which is refused with the end of the connection announced, or ends its wait by the deadline that the drain sets.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -169,12 +169,15 @@
 	draining      atomic.Bool
 	refusedConns  atomic.Uint64
 	connClosed    chan struct{} // holds a token after a connection was closed
+	acceptEnded   chan struct{} // closed when no connection is accepted any more
+	released      chan struct{} // closed when Accept may return an error
+	releaseOnce   sync.Once
 }
 
 func newListener(ln net.Listener, maxConns int, headerTimeout time.Duration) *listener {
 	return &listener{
 		Listener: ln, maxConns: int64(maxConns), headerTimeout: headerTimeout,
-		connClosed: make(chan struct{}, 1),
+		connClosed: make(chan struct{}, 1), acceptEnded: make(chan struct{}), released: make(chan struct{}),
 	}
 }
 
@@ -190,6 +193,10 @@
 			continue
 		}
 		if err != nil {
+			// On an error hertz counts as stopped, and closes each connection
+			// after its present request without reading the next.
+			close(l.acceptEnded)
+			<-l.released
 			return nil, err
 		}
 		if l.openConns.Add(1) > l.maxConns {
@@ -206,6 +213,10 @@
 	}
 }
 
+// release lets Accept return an error once the listener is closed, which ends
+// hertz.
+func (l *listener) release() { l.releaseOnce.Do(func() { close(l.released) }) }
+
 // acceptRetryDelay is the delay after a transient error of accept, such as a
 // lack of file descriptors.
 const acceptRetryDelay = 50 * time.Millisecond
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -200,6 +200,7 @@
 // no exchange.
 func (f *Frontend) Shutdown(ctx context.Context) error {
 	f.stopAccepting()
+	defer f.endServing()
 	if err := f.listener.drain(ctx); err != nil {
 		return core.Wrap(core.CodeUnavailable, err, "frontend: shutdown ended with exchanges still running")
 	}
@@ -211,6 +212,7 @@
 func (f *Frontend) Close() error {
 	f.stopAccepting()
 	f.listener.forEachConn((*callerConn).reset)
+	f.endServing()
 	f.watchPool.Release()
 	return nil
 }
@@ -218,6 +220,18 @@
 func (f *Frontend) stopAccepting() {
 	f.draining.Store(true)
 	_ = f.listener.Listener.Close()
+	if f.started.Load() {
+		select {
+		case <-f.listener.acceptEnded:
+		case <-f.serveEnded:
+		}
+	}
+}
+
+// endServing ends hertz, which no longer serves further requests of open
+// connections then.
+func (f *Frontend) endServing() {
+	f.listener.release()
 	if f.started.Load() {
 		<-f.serveEnded
 	}
