peers: reject datagrams that exceed a beacon

A datagram larger than the buffer for beacons is cut by the socket. One whose first 1,400 bytes are a whole document counted as a beacon. A beacon above this size was sent although no node can receive it, and each of the others logged it as malformed.

Fix: the buffer has room for one byte more, so that a larger datagram shows and is rejected, and encoding a larger beacon fails at the node that sends it.

--- a/peers/beacon.go
+++ b/peers/beacon.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 	"marjoramshore.example/fleet"
@@ -24,6 +25,14 @@
 // maxBeaconBytes bounds a beacon so that its datagram fits into one packet.
 const maxBeaconBytes = 1400
 
+// BeaconTooLargeError reports a beacon that does not fit into one packet.
+type BeaconTooLargeError struct{}
+
+// Error implements error.
+func (*BeaconTooLargeError) Error() string {
+	return "exceeds " + strconv.Itoa(maxBeaconBytes) + " bytes"
+}
+
 // BeaconSocket sends and receives beacons on one UDP socket.
 type BeaconSocket struct{ conn *net.UDPConn }
 
@@ -46,6 +55,9 @@
 	if err != nil {
 		return nil, &BeaconError{"encode", eris.Wrap(err, "json")}
 	}
+	if len(data) > maxBeaconBytes {
+		return nil, &BeaconError{"encode", &BeaconTooLargeError{}}
+	}
 	return data, nil
 }
 
@@ -69,6 +81,10 @@
 	if err != nil {
 		return fleet.Beacon{}, &BeaconError{"receive", eris.Wrap(err, "read")}
 	}
+	if n > maxBeaconBytes {
+		// The rest of the datagram is lost.
+		return fleet.Beacon{}, &BeaconError{"decode", &BeaconTooLargeError{}}
+	}
 	var beacon fleet.Beacon
 	if err := json.Unmarshal(buf[:n], &beacon); err != nil {
 		return fleet.Beacon{}, &BeaconError{"decode", eris.Wrap(err, "json")}
@@ -76,8 +92,9 @@
 	return beacon, nil
 }
 
-// NewBeaconBuffer returns a buffer for BeaconSocket.Receive.
-func NewBeaconBuffer() []byte { return make([]byte, maxBeaconBytes) }
+// NewBeaconBuffer returns a buffer for BeaconSocket.Receive. It has room for one
+// byte more than a beacon, to detect larger datagrams.
+func NewBeaconBuffer() []byte { return make([]byte, maxBeaconBytes+1) }
 
 // Close closes the socket and makes a waiting Receive fail.
 func (s *BeaconSocket) Close() error { return s.conn.Close() }
