fleet: ignore a beacon that is older than one received before

A datagram may arrive late or twice. A beacon with a smaller serial than the entry that the node has announced since was taken in except for its entry: it kept a lost node alive and brought back an earlier load and version of the configuration, for which the node was then asked.

Fix: a beacon with a smaller serial is ignored. A copy of the newest beacon cannot be told from it, since beacons are not numbered; it brings back nothing, but counts as a sign of life.

The test failed before: the lost node was alive.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -183,8 +183,8 @@
 		// The time of day went back between the two starts.
 		v.replaceEntry(now, n, b.Entry)
 	}
-	if n == nil || n.entry.Incarnation != b.Entry.Incarnation {
-		return // from a former incarnation
+	if n == nil || n.entry.Incarnation != b.Entry.Incarnation || b.Entry.Serial < n.entry.Serial {
+		return // from a former incarnation, or older than one that was received
 	}
 	if !n.alive {
 		n.alive, v.changed = true, true
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -60,6 +60,28 @@
 	must.Eq(t, 1.0, v.HeardShare(start.Add(2*lostAfter)))
 }
 
+// Guards against an old beacon that arrives once more and keeps a lost node alive
+// or brings back what it reported.
+func TestRepeatedOldBeacon(t *testing.T) {
+	v := NewView("me")
+	old := Beacon{Entry: newEntry("a", 1, 10, 1), ConfigVersion: 40, Running: 9}
+	v.ApplyBeacon(start, old)
+	v.ApplyBeacon(start, Beacon{Entry: newEntry("a", 1, 10, 2), ConfigVersion: 3})
+	for d := time.Duration(0); d <= lostAfter; d += lostAfter / 4 {
+		v.ApplyBeacon(start.Add(d), old)
+	}
+	v.UpdateLiveness(start.Add(lostAfter))
+	s, _ := v.Snapshot()
+	must.False(t, s.Nodes["a"].Alive)
+	_, newer := v.FindNewerConfig(3)
+	must.False(t, newer)
+	running, _ := s.Nodes["a"].Load.RequestCounts()
+	must.Eq(t, 0, running)
+	v.ApplyBeacon(start.Add(lostAfter), Beacon{Entry: newEntry("a", 1, 10, 2), ConfigVersion: 3})
+	s, _ = v.Snapshot()
+	must.True(t, s.Nodes["a"].Alive)
+}
+
 // Guards against a coordinator on a weak VM. In a large fleet, one with 0.16 of
 // a core did not answer 53 members within a lease, and no key was served.
 func TestCoordinatorRankPrefersStrongVMs(t *testing.T) {
