transport: end messages between nodes that have no end

connect-go fails a message above its limit, but reads the message to its end first, to report its size: a control message or its reply for as long as bytes come, a message of an exchange for up to the 4 GB that its prefix can announce. A call without a deadline read for ever.

Class: a limit that stops the use of bytes, but not their reading, as in the calls of package peers.

Fix: the body of an RPC fails at the first message that is too large, which resets the stream. The head of a response has at most 32 KiB, as that of a request, instead of 10 MB.

Heads without end ended the exchange before as well. Answers that are repeated or late belong to a stream, by its number, and a stream that is cut has no end frame, which TestPeerCutMidResponse and others cover.

--- a/transport/client.go
+++ b/transport/client.go
@@ -94,13 +94,14 @@
 func newHTTPTransport(cfg ClientConfig) *http.Transport {
 	dialer := net.Dialer{Timeout: cfg.DialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		TLSClientConfig:     cfg.TLS,
-		TLSHandshakeTimeout: 2 * cfg.DialTimeout,
-		IdleConnTimeout:     5 * time.Minute,
-		DisableCompression:  true,
-		Protocols:           peerProtocols(cfg.TLS),
-		HTTP2:               clientHTTP2Config(),
+		DialContext:            dialer.DialContext,
+		TLSClientConfig:        cfg.TLS,
+		TLSHandshakeTimeout:    2 * cfg.DialTimeout,
+		IdleConnTimeout:        5 * time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		Protocols:              peerProtocols(cfg.TLS),
+		HTTP2:                  clientHTTP2Config(),
 	}
 }
 
@@ -130,7 +131,11 @@
 	// Without GetBody, net/http does not resend a request by itself.
 	out.GetBody = nil
 	out.Header.Set("Authorization", c.auth.Sign(url.Path, time.Now()))
-	return c.transport.RoundTrip(out)
+	resp, err := c.transport.RoundTrip(out)
+	if err == nil {
+		resp.Body = limitBody(nil, url.Path, resp.Body)
+	}
+	return resp, err
 }
 
 // Call sends one control message to the peer at addr and returns the payload of
--- a/transport/http2.go
+++ b/transport/http2.go
@@ -16,6 +16,9 @@
 	connWindowBytes   = 64 << 20
 )
 
+// maxHeadBytes bounds the header fields of a request or a response.
+const maxHeadBytes = 32 << 10
+
 // discardLogger drops net/http's log lines about broken connections. The
 // exchanges concerned are counted, and their callers get a *core.Error.
 var discardLogger = log.New(io.Discard, "", 0)
--- a/transport/server.go
+++ b/transport/server.go
@@ -104,7 +104,7 @@
 		TLSConfig:         cfg.TLS,
 		ReadHeaderTimeout: 10 * time.Second,
 		IdleTimeout:       5 * time.Minute,
-		MaxHeaderBytes:    32 << 10,
+		MaxHeaderBytes:    maxHeadBytes,
 		Protocols:         peerProtocols(cfg.TLS),
 		HTTP2:             serverHTTP2Config(cfg.MaxStreams),
 		ErrorLog:          discardLogger,
@@ -180,6 +180,7 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
+		r.Body = limitBody(w, r.URL.Path, r.Body)
 		ctx := context.WithValue(r.Context(), requestBodyKey{}, r.Body)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
