--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -92,6 +93,8 @@
 		answers <- refused
 		a, err = c.Report(ctx, address, shards.LeaseRequest{})
 		must.True(t, err != nil || a.Lease == 0, must.Sprint(a))
+		var other *OtherCallError
+		must.True(t, errors.As(err, &other), must.Sprint("the cause is not logged: ", err))
 		answers <- encodeAnswer(t, StepDownAnswer{Done: true})
 		s, err := c.StepDown(ctx, address, StepDownRequest{Term: 6})
 		must.NoError(t, err)
--- a/sidecar/keys/duty.go
+++ b/sidecar/keys/duty.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
 
 	"marjoramshore.example/clock"
+	"marjoramshore.example/peers"
 	"marjoramshore.example/ring"
 	"marjoramshore.example/shards"
 )
@@ -215,7 +217,13 @@
 func (m leaseResult) apply(s *state) {
 	s.reporting = false
 	if m.err != nil {
-		s.log(log.Fields{"error": m.err}).Debug("lease request to the coordinator failed")
+		entry := s.log(log.Fields{"error": m.err})
+		var other *peers.OtherCallError
+		if errors.As(m.err, &other) {
+			entry.Warn("answer of the coordinator belongs to another call; no lease is taken from it")
+		} else {
+			entry.Debug("lease request to the coordinator failed")
+		}
 		return
 	}
 	s.handleAnswer(m.sentAt, m.answer)
