gate: reject a response head that contains the start of another one

A backend server that broke off an earlier refusal within its status line or within a field value, and wrote its next answer behind it, made the node read both as one head: the status 503 with the attempt id and signature of a request that had run. The caller was told that it did not run. The statement that a request did not run can survive in the same way.

Class: two messages count as one, because the line end that separates them is missing. A status line within the reason or within a field value now makes the response malformed, and the outcome unknown.

--- a/gate/head.go
+++ b/gate/head.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 
 	"marjoramshore.example/core"
 )
@@ -17,7 +19,7 @@
 // MalformedResponseError reports bytes that are no response of HTTP/1.
 type MalformedResponseError struct{}
 
-func (*MalformedResponseError) Error() string { return "malformed status line" }
+func (*MalformedResponseError) Error() string { return "malformed response head" }
 
 // StrayResponseError reports a response after which the response to the request
 // cannot be found on the connection.
@@ -43,7 +45,7 @@
 		switch {
 		case err != nil:
 			return nil, err
-		case resp.StatusCode < 100 || resp.StatusCode > 599:
+		case resp.StatusCode < 100 || resp.StatusCode > 599 || containsHead(resp):
 			return nil, &MalformedResponseError{}
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, core.Fail(core.CodeUnknown, "backend server switched protocols")
@@ -82,6 +84,36 @@
 	return nil
 }
 
+// statusLineLength is the length of a status line without the reason.
+const statusLineLength = len("HTTP/1.1 200")
+
+// containsHead reports whether a line of the head of resp contains the start of
+// another head, because the server broke off a response and went on with the next.
+func containsHead(resp *http.Response) bool {
+	if containsStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, containsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsStatusLine(s string) bool {
+	for {
+		i := strings.Index(s, protocolPrefix)
+		if i < 0 || len(s)-i < statusLineLength {
+			return false
+		}
+		if _, err := strconv.ParseUint(s[i+statusLineLength-3:i+statusLineLength], 10, 16); err == nil && s[i+statusLineLength-4] == ' ' {
+			return true
+		}
+		s = s[i+len(protocolPrefix):]
+	}
+}
+
 // discardResponse reads and drops a response to another request. All of them in
 // an exchange share the limits, so that they cannot follow each other without end.
 func (x *exchange) discardResponse(resp *http.Response) error {
