peers: repeat a call whose kept connection ends as it is sent

A call to another node failed with EOF or a reset if that node closed the kept connection at the moment at which the call was sent, although a new connection would have carried it. The member of a service then missed a report, a takeover did not learn that the former coordinator had stepped down and waited for the leases to end, and a document came one beacon later.

net/http repeats a request on another connection only if it counts as idempotent, which a POST does not, and not after a failed write. The client now repeats a call that got no byte of an answer on a kept connection, at most twice and within the timeout of the call. All three procedures may run twice: a report repeated later only makes the coordinator wait longer for the lease, which the member counts from the first attempt.

It waited without a bound for the other node to get the call. It now fails after 5 s with the error of the call. TestCallOnKeptConnectionThatCloses failed before with "unexpected EOF" and "connection reset by peer".

--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -151,13 +151,45 @@
 				return whole[:min(n, len(whole))]
 			}
 			a, err := c.StepDown(ctx, address, StepDownRequest{Term: 3})
-			cut = <-sent
+			select {
+			case cut = <-sent:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the other node did not get the call: ", err)
+			}
 			must.Eq(t, cut, err != nil, must.Sprint(n))
 			must.Eq(t, !cut, a.Done)
 		}
 	}
 }
 
+// Guards against a call that fails because the other node closes the kept
+// connection while the call is sent, before or after it read the call.
+func TestCallOnKeptConnectionThatCloses(t *testing.T) {
+	for name, closeWith := range map[string]func(in *bufio.Reader){
+		"unread": func(in *bufio.Reader) { _, _ = in.Peek(1) },
+		"read":   func(in *bufio.Reader) { _, _ = readCall(in) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			connections := &atomic.Int64{}
+			address := startRawPeer(t, func(c net.Conn) {
+				connections.Add(1)
+				in := bufio.NewReader(c)
+				if head, ok := readCall(in); ok {
+					_, _ = io.WriteString(c, withBody(head, `{"Done":true}`))
+					closeWith(in)
+				}
+			})
+			c := NewClient()
+			for i := range 50 {
+				a, err := c.StepDown(t.Context(), address, StepDownRequest{Term: 3})
+				must.NoError(t, err, must.Sprint(i))
+				must.True(t, a.Done)
+			}
+			must.Eq(t, 50, connections.Load())
+		})
+	}
+}
+
 // Guards against an answer without end, in its head or body, that holds up the
 // call or keeps being read.
 func TestAnswerToCallWithoutEnd(t *testing.T) {
--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -26,7 +26,10 @@
 	// byte, however long that is.
 	maxBodyBytes = maxMessageBytes + 1
 	// maxCallHeadBytes bounds the head of a call or of an answer.
-	maxCallHeadBytes  = 16 << 10
+	maxCallHeadBytes = 16 << 10
+	// maxCallAttempts bounds the attempts of a call. Each but the last uses up a
+	// kept connection.
+	maxCallAttempts   = 3
 	callDialTimeout   = 300 * time.Millisecond
 	callIdleTimeout   = 20 * time.Second
 	callHeaderTimeout = 2 * time.Second
@@ -67,17 +70,37 @@
 	return "answer belongs to call " + strconv.Quote(e.Answered) + " instead of " + strconv.Quote(e.Sent)
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. A kept connection may end while a call
+// is sent on it, for example when the other node starts again. The call is then
+// repeated on another connection, since each procedure may run twice.
 func (t *callTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	for attempt := 1; ; attempt++ {
+		resp, connEnded, err := t.attempt(r)
+		if !connEnded || attempt == maxCallAttempts || r.GetBody == nil || r.Context().Err() != nil {
+			return resp, err
+		}
+		body, bodyErr := r.GetBody()
+		if bodyErr != nil {
+			return nil, err
+		}
+		r = r.Clone(r.Context())
+		r.Body = body
+	}
+}
+
+// attempt sends a call once. connEnded reports that it failed on a kept
+// connection before the first byte of an answer.
+func (t *callTransport) attempt(r *http.Request) (resp *http.Response, connEnded bool, err error) {
 	id := strconv.FormatUint(t.lastID.Add(1), 10)
-	reused := false
+	reused, answering := false, atomic.Bool{}
 	r = r.Clone(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused },
+		GotConn:              func(c httptrace.GotConnInfo) { reused = c.Reused },
+		GotFirstResponseByte: func() { answering.Store(true) },
 	}))
 	r.Header.Set(callIDHeader, id)
-	resp, err := t.http.RoundTrip(r)
+	resp, err = t.http.RoundTrip(r)
 	if err != nil {
-		return nil, err
+		return nil, reused && !answering.Load(), err
 	}
 	answered := resp.Header.Get(callIDHeader)
 	// A node of an earlier version repeats no ID. Its answer can belong to no
@@ -86,10 +109,10 @@
 		_ = resp.Body.Close()
 		// The connection is idle already if the answer has no body.
 		t.http.CloseIdleConnections()
-		return nil, &OtherCallError{Sent: id, Answered: answered}
+		return nil, false, &OtherCallError{Sent: id, Answered: answered}
 	}
 	resp.Body = http.MaxBytesReader(nil, resp.Body, maxBodyBytes)
-	return resp, nil
+	return resp, false, nil
 }
 
 // Report sends a member's report to the coordinator at address, host:port, and
--- a/peers/calls.go
+++ b/peers/calls.go
@@ -51,7 +51,7 @@
 	Spec     json.RawMessage
 }
 
-// Handler handles the calls of other nodes.
+// Handler handles the calls of other nodes. A call may arrive twice.
 type Handler interface {
 	Report(ctx context.Context, r shards.LeaseRequest) shards.LeaseAnswer
 	StepDown(ctx context.Context, r StepDownRequest) StepDownAnswer
