peers: bound the bytes that a test sees read, not those written

The tests of answers and calls without end bounded what the other end could write by 16 MiB. That contains the socket buffers of the machine: with a receive buffer of up to 32 MiB (net.ipv4.tcp_rmem) the same test of the store client failed although the client had stopped at its limit.

The tests now count the bytes that the node reads from its connections and bound them by the limits of a head and a body, the framing that the case adds, and one read buffer. That the node closes the connection is checked as before.

--- a/peers/answers_test.go
+++ b/peers/answers_test.go
@@ -23,6 +23,12 @@
 // 1, to respond, which writes the raw bytes of the answers. It closes the
 // connection if respond returns false. It returns a link to it.
 func startFaultyPeer(t *testing.T, respond func(c net.Conn, request int64, r *http.Request) bool) *Link {
+	l, _ := startMeteredPeer(t, respond)
+	return l
+}
+
+// startMeteredPeer is startFaultyPeer with the meter of the link.
+func startMeteredPeer(t *testing.T, respond func(c net.Conn, request int64, r *http.Request) bool) (*Link, *core.ByteMeter) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
@@ -49,10 +55,11 @@
 			}()
 		}
 	}()
-	l, err := NewLink(ln.Addr().String(), newSender(), nil)
+	meter := &core.ByteMeter{}
+	l, err := NewLink(ln.Addr().String(), newSender(), meter)
 	must.NoError(t, err)
 	t.Cleanup(l.CloseIdle)
-	return l
+	return l, meter
 }
 
 func send(t *testing.T, l *Link) (int, error) {
--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,6 +67,55 @@
 	return head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
+// countingConn counts the bytes that are read from the connection. What the other
+// end can write depends on the socket buffers of the machine as well.
+type countingConn struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// countReads returns the number of bytes that c reads from its connections.
+func countReads(c *Client) *atomic.Int64 {
+	read, transport := &atomic.Int64{}, c.http.Transport.(*callTransport).http
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{conn.(*net.TCPConn), read}, nil
+	}
+	return read
+}
+
+// readAheadBytes is the size of a read buffer of net/http, in which bytes after
+// a limit can lie.
+const readAheadBytes = 4 << 10
+
+// countingListener counts the bytes that are read from each connection, by its
+// remote address.
+type countingListener struct {
+	net.Listener
+	read *sync.Map
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	read, _ := l.read.LoadOrStore(conn.RemoteAddr().String(), &atomic.Int64{})
+	return countingConn{conn.(*net.TCPConn), read.(*atomic.Int64)}, nil
+}
+
 // Guards against an earlier answer of a node, written once more on a kept
 // connection, that extends a lease or confirms that a coordinator stepped down.
 func TestEarlierAnswerRepeatedToCall(t *testing.T) {
@@ -193,7 +243,6 @@
 // Guards against an answer without end, in its head or body, that holds up the
 // call or keeps being read.
 func TestAnswerToCallWithoutEnd(t *testing.T) {
-	const maxBytesRead = 16 << 20 // the limit of a message, and the largest buffers of both sockets
 	for kind, r := range map[string]struct{ begin, repeat string }{
 		"header fields":   {"", "X-Fill: 0123456789\r\n"},
 		"header line":     {"X-Fill: ", strings.Repeat("x", 1024)},
@@ -206,7 +255,7 @@
 	} {
 		for _, status := range []string{"200 OK", "503 X"} {
 			t.Run(kind+" "+status, func(t *testing.T) {
-				written := make(chan int, 1)
+				closed := make(chan struct{})
 				address := startRawPeer(t, func(c net.Conn) {
 					head, ok := readCall(bufio.NewReader(c))
 					if !ok {
@@ -216,27 +265,30 @@
 					if kind == "1xx" {
 						head = "HTTP/1.1 103 X\r\n"
 					}
-					n, _ := io.WriteString(c, head+r.begin)
+					_, err := io.WriteString(c, head+r.begin)
 					_ = c.SetWriteDeadline(time.Now().Add(20 * time.Second))
-					for block := strings.Repeat(r.repeat, 1024/len(r.repeat)); ; {
-						more, err := io.WriteString(c, block)
-						if n += more; err != nil {
-							written <- n
-							return
-						}
+					for block := strings.Repeat(r.repeat, 1024/len(r.repeat)); err == nil; {
+						_, err = io.WriteString(c, block)
 					}
+					close(closed)
 				})
+				client := NewClient()
+				read := countReads(client)
 				start := time.Now()
-				a, err := NewClient().StepDown(context.Background(), address, StepDownRequest{})
+				a, err := client.StepDown(context.Background(), address, StepDownRequest{})
 				must.Error(t, err)
 				must.False(t, a.Done)
 				must.Less(t, 4*callTimeout, time.Since(start))
 				select {
-				case n := <-written:
-					must.Less(t, maxBytesRead, n)
+				case <-closed:
 				case <-time.After(5 * time.Second):
 					t.Fatal("connection still open")
 				}
+				maxBytesRead := int64(maxBodyBytes)
+				if kind == "chunks" {
+					maxBytesRead = maxBytesRead * int64(len(r.repeat)) / 4 // each chunk has 4 bytes of the body
+				}
+				must.LessEq(t, maxCallHeadBytes+maxBytesRead+readAheadBytes, read.Load())
 			})
 		}
 	}
@@ -254,22 +306,23 @@
 	return StepDownAnswer{Done: true}
 }
 
-// startCallServer runs a server that counts the StepDown calls.
-func startCallServer(t *testing.T) (string, *atomic.Int64) {
+// startCallServer runs a server that counts the StepDown calls, and the bytes
+// that it reads by the address of the other end.
+func startCallServer(t *testing.T) (string, *atomic.Int64, *sync.Map) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	h := countingHandler{calls: &atomic.Int64{}}
-	server := NewServer(h)
-	go func() { _ = server.Serve(ln) }()
+	server, read := NewServer(h), &sync.Map{}
+	go func() { _ = server.Serve(countingListener{ln, read}) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return ln.Addr().String(), h.calls
+	return ln.Addr().String(), h.calls, read
 }
 
 const stepDownHead = "POST " + stepDownProcedure + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Type: application/json\r\n"
 
 // Guards against a call that breaks off and is carried out.
 func TestCallCutAtEachByte(t *testing.T) {
-	address, calls := startCallServer(t)
+	address, calls, _ := startCallServer(t)
 	body := `{"Service":"s","Term":4}`
 	chunked := stepDownHead + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
 	for _, request := range []string{withBody(stepDownHead, body), chunked} {
@@ -295,8 +348,10 @@
 // Guards against a call without end, in its head or body, that is carried out or
 // keeps being read.
 func TestCallWithoutEnd(t *testing.T) {
-	const maxBytesRead = 16 << 20 // the limit of a message, and the largest buffers of both sockets
-	address, calls := startCallServer(t)
+	// net/http adds 4 KiB to the limit of a head, and reads up to 256 KiB of a
+	// body that its handler left. A chunk of 1024 bytes takes 1031.
+	const maxBytesRead = maxCallHeadBytes + 4<<10 + (maxBodyBytes+256<<10)*1031/1024 + readAheadBytes
+	address, calls, read := startCallServer(t)
 	for kind, r := range map[string]struct{ begin, repeat string }{
 		"request line":       {"POST /", strings.Repeat("x", 1024)},
 		"header fields":      {stepDownHead, "X-Fill: 0123456789\r\n"},
@@ -315,12 +370,10 @@
 			must.NoError(t, err)
 			defer c.Close()
 			go func() { _, _ = io.Copy(io.Discard, c) }()
-			n, _ := io.WriteString(c, r.begin)
+			_, _ = io.WriteString(c, r.begin)
 			_ = c.SetWriteDeadline(time.Now().Add(20 * time.Second))
 			for start := time.Now(); ; {
-				more, err := io.WriteString(c, r.repeat)
-				n += more
-				if err != nil {
+				if _, err := io.WriteString(c, r.repeat); err != nil {
 					must.Less(t, 10*time.Second, time.Since(start))
 					break
 				}
@@ -328,7 +381,9 @@
 					time.Sleep(50 * time.Millisecond)
 				}
 			}
-			must.Less(t, maxBytesRead, n)
+			n, ok := read.Load(c.LocalAddr().String())
+			must.True(t, ok)
+			must.LessEq(t, maxBytesRead, n.(*atomic.Int64).Load())
 			must.Eq(t, 0, calls.Load())
 		})
 	}
--- a/peers/cut_test.go
+++ b/peers/cut_test.go
@@ -54,6 +54,10 @@
 	}
 }
 
+// maxHeadBytes is the default limit of the heads of an exchange on a link. The
+// bodies of the answers below are not read.
+const maxHeadBytes = 64 << 10
+
 // Guards against a node whose answer never becomes one, or whose refusal has a
 // body without end: the caller must learn the outcome before its deadline.
 func TestEndlessAnswerOfNodeEndsTheRequest(t *testing.T) {
@@ -72,15 +76,13 @@
 		"chunked body of a refusal": {refusal + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + part + "\r\n", core.CodeQueueFull},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ended := make(chan int, 1)
-			l := startFaultyPeer(t, func(conn net.Conn, _ int64, _ *http.Request) bool {
-				sent, err := io.WriteString(conn, c.start)
+			closed := make(chan struct{})
+			l, meter := startMeteredPeer(t, func(conn net.Conn, _ int64, _ *http.Request) bool {
+				_, err := io.WriteString(conn, c.start)
 				for err == nil {
-					var n int
-					n, err = io.WriteString(conn, c.part)
-					sent += n
+					_, err = io.WriteString(conn, c.part)
 				}
-				ended <- sent
+				close(closed)
 				return false
 			})
 			req := newRequest(time.Now())
@@ -89,7 +91,13 @@
 			_, err := l.Send(t.Context(), clock.NewReal(), req, &fleet.Load{})
 			must.Eq(t, c.want, core.CodeOf(err))
 			must.Less(t, 5*time.Second, time.Since(start), must.Sprint("the deadline is later"))
-			must.Less(t, 16<<20, <-ended, must.Sprint("above the limits of an exchange and the buffers of a socket"))
+			select {
+			case <-closed:
+			case <-time.After(2 * time.Second):
+				t.Fatal("the connection is not closed")
+			}
+			read, _ := meter.Totals()
+			must.LessEq(t, maxHeadBytes+linkBufferBytes, read)
 		})
 	}
 }
