gate: bound the bytes that a test sees read, not those written

The tests of responses without end bounded what the backend server could write by 16 MiB, which contains the socket buffers of the machine (up to 32 MiB of receive buffer on some), and waited without a bound for its end.

They now bound what the gate reads from its connection, by its own meter, by 64 KiB of heads, 256 KiB of discarded bodies with their framing, and one read buffer, and where no body is discarded by the head and one buffer. The wait for the end of the connection is bounded by 2 s. Without the limit of discarded bodies the test fails.

--- a/gate/close_test.go
+++ b/gate/close_test.go
@@ -6,11 +6,11 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"marjoramshore.example/core"
 )
 
 // Guards against a response that is dropped, like a refusal, but whose body is
@@ -21,7 +21,6 @@
 	} {
 		for _, part := range []string{"", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"} {
 			t.Run(fmt.Sprintf("%s, endless %t", name, part != ""), func(t *testing.T) {
-				var sent atomic.Int64
 				closed := make(chan struct{}, 1)
 				addr, _ := startRawBackend(t, func(n int64, c net.Conn, _ *http.Request) bool {
 					if n > 1 {
@@ -30,26 +29,21 @@
 					}
 					_, err := io.WriteString(c, "HTTP/1.1 503 X\r\n"+head)
 					for err == nil && part != "" {
-						var k int
-						k, err = io.WriteString(c, part)
-						sent.Add(int64(k))
+						_, err = io.WriteString(c, part)
 					}
 					_, _ = io.Copy(io.Discard, c)
 					closed <- struct{}{}
 					return false
 				})
-				g := newGate(t, Config{BackendAddr: addr, MaxConns: 1})
+				meter := &core.ByteMeter{}
+				g := newGate(t, Config{BackendAddr: addr, MaxConns: 1, Meter: meter})
 				resp, err := g.Serve(t.Context(), requestWithin(5*time.Second))
 				must.NoError(t, err)
 				start := time.Now()
 				must.NoError(t, resp.Body.Close())
 				must.Less(t, time.Second, time.Since(start))
-				select {
-				case <-closed:
-				case <-time.After(2 * time.Second):
-					t.Fatal("the connection is not closed")
-				}
-				must.Less(t, int64(maxEndlessBytes), sent.Load())
+				mustClose(t, closed)
+				mustReadAtMost(t, maxHeadBytes+copyBufferSize, meter)
 				mustServeNext(t, g)
 			})
 		}
--- a/gate/endless_test.go
+++ b/gate/endless_test.go
@@ -13,29 +13,50 @@
 	"marjoramshore.example/core"
 )
 
-// maxEndlessBytes is above the limits of an exchange and the buffers of a socket.
-const maxEndlessBytes = 16 << 20
+const (
+	// maxHeadBytes is the default of Config.MaxHeaderBytes.
+	maxHeadBytes = 64 << 10
+	// maxEndlessBytes is the most that an exchange reads without a response. Its
+	// chunks of 1000 bytes take 1007.
+	maxEndlessBytes = maxHeadBytes + maxDiscardedBody*1007/1000 + copyBufferSize
+)
 
 // startEndlessBackend starts a server that answers the first request with start
-// and then part after part, until the connection is closed. It sends the number
-// of bytes on the channel. Later requests are answered in full.
-func startEndlessBackend(t *testing.T, start, part string) (string, <-chan int) {
-	total := make(chan int, 1)
+// and then part after part, until the connection is closed, and then closes the
+// channel. Later requests are answered in full.
+func startEndlessBackend(t *testing.T, start, part string) (string, <-chan struct{}) {
+	closed := make(chan struct{})
 	addr, _ := startRawBackend(t, func(n int64, c net.Conn, _ *http.Request) bool {
 		if n > 1 {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			return true
 		}
-		sent, err := io.WriteString(c, start)
+		_, err := io.WriteString(c, start)
 		for err == nil {
-			var k int
-			k, err = io.WriteString(c, part)
-			sent += k
+			_, err = io.WriteString(c, part)
 		}
-		total <- sent
+		close(closed)
 		return false
 	})
-	return addr, total
+	return addr, closed
+}
+
+// mustClose fails unless the gate closes the connection soon.
+func mustClose(t *testing.T, closed <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection is not closed")
+	}
+}
+
+// mustReadAtMost fails if the gate has read more than limit bytes from its
+// connections. What a server can write depends on the socket buffers as well.
+func mustReadAtMost(t *testing.T, limit int64, meter *core.ByteMeter) {
+	t.Helper()
+	read, _ := meter.Totals()
+	must.LessEq(t, limit, read)
 }
 
 // mustServeNext fails unless the only connection slot of the gate is free.
@@ -77,13 +98,15 @@
 		"stray responses, unattributable": {stray + "Marjoram-Request-Id: r1\r\n\r\n", line},
 	} {
 		t.Run(name, func(t *testing.T) {
-			addr, total := startEndlessBackend(t, c[0], c[1])
-			g := newGate(t, Config{BackendAddr: addr, MaxConns: 1})
+			addr, closed := startEndlessBackend(t, c[0], c[1])
+			meter := &core.ByteMeter{}
+			g := newGate(t, Config{BackendAddr: addr, MaxConns: 1, Meter: meter})
 			start := time.Now()
 			_, err := g.Serve(t.Context(), requestWithin(10*time.Second))
 			must.Eq(t, core.CodeUnknown, core.CodeOf(err), must.Sprint(err))
 			must.Less(t, 5*time.Second, time.Since(start), must.Sprint("the deadline is later"))
-			must.Less(t, maxEndlessBytes, <-total)
+			mustClose(t, closed)
+			mustReadAtMost(t, maxEndlessBytes, meter)
 			mustServeNext(t, g)
 		})
 	}
@@ -102,8 +125,9 @@
 		"no chunk at all": {chunked, "x"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			addr, total := startEndlessBackend(t, c[0], c[1])
-			g := newGate(t, Config{BackendAddr: addr, MaxConns: 1})
+			addr, closed := startEndlessBackend(t, c[0], c[1])
+			meter := &core.ByteMeter{}
+			g := newGate(t, Config{BackendAddr: addr, MaxConns: 1, Meter: meter})
 			start := time.Now()
 			resp, err := g.Serve(t.Context(), requestWithin(10*time.Second))
 			must.NoError(t, err)
@@ -111,7 +135,8 @@
 			must.Eq(t, core.CodeAborted, core.CodeOf(err))
 			must.NoError(t, resp.Body.Close())
 			must.Less(t, 5*time.Second, time.Since(start), must.Sprint("the deadline is later"))
-			must.Less(t, maxEndlessBytes, <-total)
+			mustClose(t, closed)
+			mustReadAtMost(t, maxHeadBytes+copyBufferSize, meter)
 			mustServeNext(t, g)
 		})
 	}
@@ -127,7 +152,7 @@
 		"chunked":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + part + "\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			addr, total := startEndlessBackend(t, c[0], c[1])
+			addr, closed := startEndlessBackend(t, c[0], c[1])
 			g := newGate(t, Config{BackendAddr: addr, MaxConns: 1})
 			start := time.Now()
 			resp, err := g.Serve(t.Context(), requestWithin(300*time.Millisecond))
@@ -136,7 +161,7 @@
 			must.Eq(t, core.CodeAborted, core.CodeOf(err))
 			must.NoError(t, resp.Body.Close())
 			must.Between(t, 250*time.Millisecond, time.Since(start), 3*time.Second)
-			<-total
+			mustClose(t, closed)
 			mustServeNext(t, g)
 		})
 	}
