soak: report how late the timers of the soak itself are

A run at CPU pressure 73% (load 44 on 8 cores) reported 148 violations, most of them requests that ended with a timeout after 3 s. The logs of all nodes show lost beacons, status reports that did not come and calls to the store that timed out, which points to the process of the soak, in which the store, the backend servers and the callers run. Nothing in the report could confirm or refute that.

The soak now measures the timers of its own process each 20 ms and prints each that is 300 ms or more late, with its time, beside the violations. No check changes.

--- a/soak/run.go
+++ b/soak/run.go
@@ -39,6 +39,11 @@
 	// breaking another guarantee would lower it.
 	minAnsweredRatio = 0.98
 	pollInterval     = 100 * time.Millisecond
+	// timerCheckInterval is the interval of the checks of timers.
+	timerCheckInterval = 20 * time.Millisecond
+	// minTimerDelay is the least delay of a timer that is reported. A call to the
+	// store may take 900 ms and a request 2 s.
+	minTimerDelay = 300 * time.Millisecond
 )
 
 // Options are the parameters of a run.
@@ -72,6 +77,10 @@
 	Counts     Counts
 	// MaxMemoryMB is the greatest memory that a process used.
 	MaxMemoryMB int
+	// LateTimers are the delays of at least minTimerDelay with which timers of
+	// this process expired. They show when the stand-ins and the callers got no
+	// processor time.
+	LateTimers []LateTimer
 }
 
 // run is the state of one run. The goroutine that calls Run executes the plan;
@@ -95,6 +104,8 @@
 	scheduledTurns sync.WaitGroup
 	// maxMemoryMB is the greatest memory of a process; checkMemory sets it.
 	maxMemoryMB int
+	// lateTimers is for Result.LateTimers; watchTimers appends to it.
+	lateTimers []LateTimer
 }
 
 // elapsed returns the time since the start of the run.
@@ -162,7 +173,7 @@
 	if failure := r.firstError.Load(); err == nil && failure != nil {
 		err = *failure
 	}
-	result.Took, result.MaxMemoryMB = r.elapsed(), r.maxMemoryMB
+	result.Took, result.MaxMemoryMB, result.LateTimers = r.elapsed(), r.maxMemoryMB, r.lateTimers
 	result.Violations, result.Counts = r.checker.Finish()
 	return result, err
 }
@@ -195,6 +206,7 @@
 	defer cancel()
 	r.startCallers(ctx, &callers)
 	callers.Go(func() { r.checkMemory(ctx) })
+	callers.Go(func() { r.watchTimers(ctx) })
 	from := r.elapsed()
 	for _, s := range steps {
 		if !r.sleep(ctx, from+s.At-r.elapsed()) {
@@ -211,6 +223,20 @@
 	return nil
 }
 
+// LateTimer is a timer of the soak that expired Delay late, at At after the start
+// of the run.
+type LateTimer struct{ At, Delay time.Duration }
+
+// watchTimers measures how late timers of this process expire until ctx ends.
+func (r *run) watchTimers(ctx context.Context) {
+	for from := r.elapsed(); r.sleep(ctx, timerCheckInterval); from = r.elapsed() {
+		now := r.elapsed()
+		if delay := now - from - timerCheckInterval; delay >= minTimerDelay {
+			r.lateTimers = append(r.lateTimers, LateTimer{now, delay})
+		}
+	}
+}
+
 // unheldError reports the number of keys that no backend server holds.
 type unheldError struct{ count int }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -63,3 +63,13 @@
 		})
 	}
 }
+
+// Guards against a violation of a run whose stand-ins got no processor time that
+// cannot be told from one of the product.
+func TestLateTimersArePrinted(t *testing.T) {
+	var out bytes.Buffer
+	r := Result{LateTimers: []LateTimer{{At: 12500 * time.Millisecond, Delay: 700 * time.Millisecond}}}
+	r.Print(&out)
+	must.StrContains(t, out.String(), "late_timers=1")
+	must.StrContains(t, out.String(), "12.50s a timer of the soak expired 700 ms late")
+}
