storehttp: bound the bytes that a test sees read, not those written

TestResponseWithoutEnd bounded what the store could write by 16 MiB, which contains the socket buffers of the machine (up to 32 MiB of receive buffer on some). It now counts the bytes that the client reads from its connections and bounds them by the limits of a head and a body, the framing of the chunks, and one read buffer. Without the limit of a body the test fails.

--- a/storehttp/bytes_test.go
+++ b/storehttp/bytes_test.go
@@ -149,7 +149,9 @@
 // Guards against a response without end, in its head or body, that holds up a
 // call or keeps being read.
 func TestResponseWithoutEnd(t *testing.T) {
-	const maxBytesRead = 16 << 20 // the limit of a body, and the largest buffers of both sockets
+	// readAheadBytes is the size of a read buffer of net/http, in which bytes after
+	// a limit can lie.
+	const readAheadBytes = 4 << 10
 	head := "HTTP/1.1 200 OK\r\n"
 	for kind, r := range map[string]struct{ begin, repeat string }{
 		"header fields": {head, "X-Fill: 0123456789\r\n"}, "header line": {head + "X-Fill: ", "x"}, "status line": {head[:9], "x"},
@@ -160,18 +162,21 @@
 	} {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
-			written := make(chan int, 1)
+			closed := make(chan struct{}, 1)
 			c := newRawClient(t, func(_ string, w io.Writer) (string, bool) {
-				n, _ := io.WriteString(w, r.begin)
+				_, err := io.WriteString(w, r.begin)
 				_ = w.(net.Conn).SetWriteDeadline(time.Now().Add(20 * time.Second))
-				for block := strings.Repeat(r.repeat, 1024/len(r.repeat)); ; {
-					more, err := io.WriteString(w, block)
-					if n += more; err != nil {
-						written <- n
-						return "", false
-					}
+				for block := strings.Repeat(r.repeat, 1024/len(r.repeat)); err == nil; {
+					_, err = io.WriteString(w, block)
 				}
+				closed <- struct{}{}
+				return "", false
 			})
+			read := storehttp.CountReads(c)
+			maxBodyBytesRead := int64(storehttp.MaxResponseBytes)
+			if kind == "chunks" {
+				maxBodyBytesRead = maxBodyBytesRead * int64(len(r.repeat)) / 4 // each chunk has 4 bytes of the body
+			}
 			for name, call := range storeCalls(t, c) {
 				start := time.Now()
 				err := call()
@@ -179,8 +184,8 @@
 				must.Eq(t, name == "put" || name == "delete", asStoreError(t, err).MayHaveApplied, must.Sprint(name))
 				must.Less(t, 4*time.Second, time.Since(start))
 				select {
-				case n := <-written:
-					must.Less(t, maxBytesRead, n)
+				case <-closed:
+					must.LessEq(t, storehttp.MaxResponseHeadBytes+maxBodyBytesRead+readAheadBytes, read.Swap(0), must.Sprint(name))
 				case <-time.After(5 * time.Second):
 					t.Fatal("connection still open after a call: ", name)
 				}
