sidecar: log slow reads of the store and of other nodes

Which connection carried a configuration, and for how long, was not in any log: 'new configuration in force' named the source only, a failed read showed once until the next success, and a failed fetch from another node was logged at debug level. A read that takes 250 ms or more, or breaks off, is one line now, with the time until its head and the time and bytes of its transfer.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	"github.com/apex/log"
 
@@ -71,11 +73,18 @@
 		request = peers.DocumentRequest{Kind: objectKind, Name: string(newer.Service)}
 	}
 	err := n.pool.Submit(func() {
+		started := time.Now()
 		a, err := n.peerClient.Document(n.ctx, newer.Address, request)
+		took := time.Since(started)
 		if err != nil || len(a.Spec) == 0 {
-			n.log.WithFields(log.Fields{"peer": newer.Address, "kind": request.Kind, "error": err}).Debug("fetching a newer document from another node failed")
+			n.log.WithFields(log.Fields{"peer": newer.Address, "kind": request.Kind, "took_ms": took.Milliseconds(), "error": err}).Info("fetching a newer document from another node failed")
 			return
 		}
+		if took >= slowTransfer {
+			n.log.WithFields(log.Fields{
+				"peer": newer.Address, "kind": request.Kind, "revision": a.Revision, "bytes": len(a.Spec), "took_ms": took.Milliseconds(),
+			}).Info("newer document of another node took long")
+		}
 		o := platform.Object{Name: request.Name, Revision: a.Revision, Spec: a.Spec}
 		if newer.Service == "" {
 			n.applyConfig(o, "peer")
@@ -87,3 +96,25 @@
 		n.log.WithError(err).Warn("newer document of another node not fetched: no pool worker is free")
 	}
 }
+
+// slowTransfer is the time from which a read of the store or of another node is
+// logged. A full link shows as such reads, since they take milliseconds
+// otherwise.
+const slowTransfer = 250 * time.Millisecond
+
+// logSlowCall logs a read of the store that took long after the head of its
+// response had arrived, or that broke off then.
+func (n *Node) logSlowCall(c platform.CallStats) {
+	brokenOff := c.Err != nil && c.Status == http.StatusOK
+	if c.Transfer < slowTransfer && !brokenOff {
+		return
+	}
+	fields := log.Fields{
+		"path": c.Path, "watch": c.IsWatch, "status": c.Status, "bytes": c.Bytes,
+		"wait_ms": c.Wait.Milliseconds(), "transfer_ms": c.Transfer.Milliseconds(),
+	}
+	if c.Err != nil {
+		fields["error"] = c.Err.Error()
+	}
+	n.log.WithFields(fields).Info("response of the platform's store took long or broke off")
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -115,6 +115,7 @@
 		}),
 		metrics: newNodeMetrics(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
 	}
+	n.store.OnCall(n.logSlowCall)
 	n.delays = peers.NewDelayEstimator(n.clock)
 	n.linkUsage.Store(&linkUsage{})
 	n.controllers.Store(&map[core.Service]*keys.Controller{})
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -117,7 +117,7 @@
 	}
 	n.configObject.Store(&o)
 	n.log.WithFields(log.Fields{
-		"version": c.Version, "revision": o.Revision, "routes": len(c.Routes), "services": len(c.Services), "source": source,
+		"version": c.Version, "revision": o.Revision, "bytes": len(o.Spec), "routes": len(c.Routes), "services": len(c.Services), "source": source,
 	}).Info("new configuration in force")
 	n.queueConfig(c)
 	n.nodes.SendBeacons()
