sidecar: put configurations in force on one goroutine

Three goroutines read configurations, by the watch, by the poll and from other nodes, and each applied its own: routes, then the object for other nodes, then the queue of what follows. Only the first step compared versions, so that an older configuration could be handled last: the key controllers of a service that only the newer one has did not start until the next version, and every request for its keys was refused. A scratch test on the former code, in which a second configuration arrives while the first is being applied, ends with 'version 1 is handled last although version 2 is in force'. That the object for other nodes becomes older than the routes follows from the same order; it did not show in 60,000 tries.

The readers now offer what they read to a keeper, whose goroutine decodes only the newest of the queued offers and takes all steps in order. The object is published before the version that beacons announce.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -12,6 +12,7 @@
 	"marjoramshore.example/platform"
 	"marjoramshore.example/shards"
 	"marjoramshore.example/shards/record"
+	"marjoramshore.example/sidecar/configs"
 	"marjoramshore.example/sidecar/nodes"
 )
 
@@ -42,7 +43,7 @@
 func (h peerHandler) Document(_ context.Context, r peers.DocumentRequest) peers.DocumentAnswer {
 	switch r.Kind {
 	case platform.ConfigKind:
-		if o := h.node.configObject.Load(); o != nil {
+		if o := h.node.configs.Object(); o != nil {
 			return peers.DocumentAnswer{Revision: o.Revision, Spec: o.Spec}
 		}
 	case objectKind:
@@ -87,7 +88,7 @@
 		}
 		o := platform.Object{Name: request.Name, Revision: a.Revision, Spec: a.Spec}
 		if newer.Service == "" {
-			n.applyConfig(o, "peer")
+			n.configs.Offer(n.ctx, configs.Offer{Object: o, Source: "peer"})
 		} else {
 			n.applyTable(newer.Service, o)
 		}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -25,6 +25,7 @@
 	"marjoramshore.example/platform"
 	"marjoramshore.example/routes"
 	"marjoramshore.example/sidecar/backend"
+	"marjoramshore.example/sidecar/configs"
 	"marjoramshore.example/sidecar/keys"
 	"marjoramshore.example/sidecar/nodes"
 	"marjoramshore.example/sidecar/router"
@@ -66,7 +67,7 @@
 	store *platform.StoreClient
 
 	routes        routes.CurrentTable
-	configObject  atomic.Pointer[platform.Object]
+	configs       *configs.Keeper
 	budget        *dispatch.RetryBudget
 	nodes         *nodes.Tracker
 	backend       *backend.Proxy
@@ -78,8 +79,7 @@
 	linkMeter     core.ByteMeter // bytes between this node and others
 	linkUsage     atomic.Pointer[linkUsage]
 	controllers   atomic.Pointer[map[core.Service]*keys.Controller]
-	newConfigs    chan routes.Config // holds only the newest configuration that is not handled yet
-	pendingTables sync.Map           // pendingTable by core.Service
+	pendingTables sync.Map // pendingTable by core.Service
 	metrics       *nodeMetrics
 	ready         atomic.Bool
 	stopping      atomic.Bool
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, log: cfg.Log, clock: NewBootClock(), self: self, pool: pool,
-		store: platform.NewStoreClient(s.StoreAddress), peerClient: peers.NewClient(), newConfigs: make(chan routes.Config, 1),
+		store: platform.NewStoreClient(s.StoreAddress), peerClient: peers.NewClient(),
 		budget: dispatch.NewRetryBudget(dispatch.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, MinRetries: s.Bounds.MinRetries, Window: s.Bounds.RetryWindow,
 		}),
@@ -122,6 +122,7 @@
 	if n.beacons, err = peers.ListenBeacons(net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort))); err != nil {
 		return nil, err
 	}
+	n.configs = configs.New(configs.Config{Log: n.log, Routes: &n.routes, OnChange: n.handleNewConfig})
 	n.nodes = nodes.New(nodes.Config{
 		Self: n.self, Clock: n.clock, Log: n.log, Socket: n.beacons, LocalStatus: n.localStatus,
 		KeyControllers: n.keyControllers, OnTick: n.advanceRetryBudget, OnNewerDocument: n.fetchDocument,
@@ -209,7 +210,7 @@
 	n.runLoop(n.nodes.Run)
 	n.runLoop(n.nodes.Receive)
 	n.runLoop(n.backend.Run)
-	n.runLoop(n.handleNewConfigs)
+	n.runLoop(n.configs.Run)
 	n.runLoop(func(context.Context) {
 		if err := n.peerServer.Serve(ln); err != http.ErrServerClosed {
 			n.log.WithError(err).Error("server for calls of other nodes failed")
@@ -269,8 +270,8 @@
 			n.log.WithFields(log.Fields{"cut_off": unreachable, "error": err}).Info("reachability of the platform's store changed while this node polls the configuration")
 			n.nodes.UpdateSelf(func(e *fleet.Entry) { e.StoreUnreachable = unreachable })
 		}
-		if old := n.configObject.Load(); err == nil && (old == nil || o.Revision > old.Revision) {
-			n.applyConfig(o, "lookout")
+		if err == nil {
+			n.configs.Offer(ctx, configs.Offer{Object: o, Source: "lookout"})
 		}
 	}
 }
@@ -287,34 +288,12 @@
 	return earlier < configPollers
 }
 
-// queueConfig passes a configuration to handleNewConfigs. It replaces one that is
-// still queued.
-func (n *Node) queueConfig(c routes.Config) {
-	for {
-		select {
-		case n.newConfigs <- c:
-			return
-		default:
-		}
-		select {
-		case <-n.newConfigs:
-		default:
-		}
-	}
-}
-
-// handleNewConfigs starts the key controllers that each new configuration needs,
-// and makes the node ready for callers.
-func (n *Node) handleNewConfigs(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case c := <-n.newConfigs:
-			n.startKeyControllers(c)
-			n.ready.Store(!n.stopping.Load())
-		}
-	}
+// handleNewConfig starts the key controllers that a new configuration needs,
+// makes the node ready for callers and announces the version to the other nodes.
+func (n *Node) handleNewConfig(c routes.Config) {
+	n.startKeyControllers(c)
+	n.ready.Store(!n.stopping.Load())
+	n.nodes.SendBeacons()
 }
 
 // startKeyControllers starts a key controller for each sharded service that has
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -13,9 +13,9 @@
 	"marjoramshore.example/core"
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/platform"
-	"marjoramshore.example/routes"
 	"marjoramshore.example/shards"
 	"marjoramshore.example/shards/record"
+	"marjoramshore.example/sidecar/configs"
 )
 
 // The nodes' objects in the store are of one kind, so that one listing returns
@@ -87,14 +87,14 @@
 	return b.Bytes()
 }
 
-// configHandler applies the operators' configuration as it is read from the
-// store. It implements watch.Handler.
+// configHandler offers the operators' configuration to the keeper as it is read
+// from the store. It implements watch.Handler.
 type configHandler struct{ node *Node }
 
 // Put implements watch.Handler.
 func (c configHandler) Put(o platform.Object) {
 	if o.Name == platform.ConfigName {
-		c.node.applyConfig(o, "store")
+		c.node.configs.Offer(c.node.ctx, configs.Offer{Object: o, Source: "store"})
 	}
 }
 
@@ -104,25 +104,6 @@
 	c.node.log.WithField("name", o.Name).Warn("configuration object removed from the platform's store; the configuration in force stays")
 }
 
-// applyConfig puts a configuration in force if it is newer than the present one.
-// source says for the log where it came from.
-func (n *Node) applyConfig(o platform.Object, source string) {
-	c, err := platform.DecodeConfig(o.Spec)
-	if err != nil {
-		n.log.WithError(err).WithField("revision", o.Revision).Error("decoding the operators' configuration failed")
-		return
-	}
-	if !n.routes.ReplaceIfNewer(routes.Compile(c)) {
-		return
-	}
-	n.configObject.Store(&o)
-	n.log.WithFields(log.Fields{
-		"version": c.Version, "revision": o.Revision, "bytes": len(o.Spec), "routes": len(c.Routes), "services": len(c.Services), "source": source,
-	}).Info("new configuration in force")
-	n.queueConfig(c)
-	n.nodes.SendBeacons()
-}
-
 const (
 	// syncRetryDelay is the delay before another attempt to write the node's
 	// address or to list the objects for the first time.
