frontend: read the rest of a request that a stop interrupts

A stop ends the wait of connections that are not busy by a read deadline in the past. On a connection with its first request, nothing set the deadline anew once bytes had been read: what does not fit into one read of 4 KiB, or arrives in two parts, then failed with a time-out, and hertz answered 408 without an attempt ID and closed. For a request of another node that answer has none of the fields of a node, so that its outcome counts as unknown: an upload that no backend server has seen ended with 502. The same happened on kept connections if a request was read between the check of busy and the change of the deadline: check, then act, on state of another goroutine.

The goroutine that reads now restores its own deadline when a read fails although that deadline lies in the future and a request has begun.

TestShutdownReadsTheRestOfRequestThatHasBegun failed before in its four cases on new connections ("head", "body", "long body", "rest arrives later"): 408 instead of 503.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -24,6 +24,9 @@
 	closed   atomic.Bool
 	// readBudget is the number of bytes after which reads fail.
 	readBudget atomic.Int64
+	// readDeadline is the read deadline without the effect of endWait, or nil
+	// before the first one.
+	readDeadline atomic.Pointer[time.Time]
 }
 
 // FramingTooLargeError is the error for a chunked body with more bytes between
@@ -46,10 +49,19 @@
 		return 0, FramingTooLargeError{}
 	}
 	n, err := c.Conn.Read(p)
-	if !c.busy.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		if arrived := c.readArrived(p); arrived > 0 {
-			n, err = arrived, nil
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if !c.busy.Load() {
+			if n = c.readArrived(p); n > 0 {
+				err = nil
+				c.restoreReadDeadline() // for the rest of the request
+			}
+			break
 		}
+		// endWait may have taken the connection for idle.
+		if !c.restoreReadDeadline() {
+			break
+		}
+		n, err = c.Conn.Read(p)
 	}
 	c.readBudget.Add(-int64(n))
 	if n > 0 {
@@ -124,6 +136,7 @@
 // SetReadDeadline implements net.Conn. Once the listener drains, a connection
 // waits for no further request.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.readDeadline.Store(&t)
 	err := c.Conn.SetReadDeadline(t)
 	if c.listener.draining.Load() {
 		c.endWait()
@@ -131,6 +144,22 @@
 	return err
 }
 
+// restoreReadDeadline undoes the effect of endWait. It returns false if the read
+// deadline has passed.
+func (c *callerConn) restoreReadDeadline() bool {
+	for {
+		t := c.readDeadline.Load()
+		if t == nil {
+			return false
+		}
+		// Fails only on a closed connection.
+		_ = c.Conn.SetReadDeadline(*t)
+		if c.readDeadline.Load() == t {
+			return t.IsZero() || time.Now().Before(*t)
+		}
+	}
+}
+
 // endWait ends the wait for a request on a connection that is not busy. The
 // goroutine that reads it then closes it, or serves a request that arrived
 // meanwhile: only that goroutine can tell.
