node: log the leases when an untraced test fails

TestStopWaitsForUpload and TestFrozenBackendServer failed once each and are not traced: the first did not say which node could serve its key, the second not why its request was refused.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -246,6 +246,7 @@
 func TestFrozenBackendServer(t *testing.T) {
 	f := newFleet(t, 4)
 	key := f.keysOwnedBy(f.nodes[3], 1)[0]
+	f.logOnFailure(key)
 	issued := strconv.FormatInt(time.Now().UnixMilli(), 10)
 	submit := func(n *Node, i int) {
 		resp, err := f.send(t.Context(), n, http.MethodPost, "/short/submit", key, "Marjoram-Idempotent", "false",
@@ -257,7 +258,7 @@
 		// earlier ones that it should be short.
 		resp, err := f.send(t.Context(), f.nodes[0], http.MethodPost, "/short/submit", key)
 		must.NoError(t, err)
-		must.Eq(t, "answered", resp.outcome)
+		must.Eq(t, "answered", resp.outcome, must.Sprintf("%+v", resp))
 	}
 	f.backends[3].Pause()
 	var submissions sync.WaitGroup
@@ -435,6 +436,7 @@
 	f := newFleet(t, 3)
 	stopping := f.nodes[2]
 	key := f.keysOwnedBy(stopping, 1)[0]
+	f.logOnFailure(key)
 	half := strings.Repeat("0123456789abcdef", 4<<10)
 	sum := sha256.Sum256([]byte(half + half))
 	uploads := []*upload{f.startUpload(f.nodes[0], key), f.startUpload(stopping, key)}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -100,6 +100,25 @@
 	}
 }
 
+// logOnFailure logs, if the test fails, which nodes may serve a key, the rest of
+// their leases, and the requests that run on their backend servers.
+func (f *fleet) logOnFailure(key string) {
+	f.t.Cleanup(func() {
+		if !f.t.Failed() {
+			return
+		}
+		for i, n := range f.nodes {
+			if n == nil {
+				continue
+			}
+			now, s := n.clock.Now(), n.Lease()
+			_, code := s.Check(now, core.HashKey(key))
+			f.t.Logf("%s: key %s code=%v ranges=%d moving=%d lease=%v reason=%q in_flight=%d",
+				n.self.Node, key, code, len(s.OwnRanges), len(s.MovingRanges), s.LeaseEnd.Sub(now), s.Reason, f.backends[i].Stats().InFlight)
+		}
+	})
+}
+
 type response struct {
 	status  int
 	outcome string
