platform: let a configuration that keeps arriving arrive

On full links nodes had a new configuration after up to 13.7 s and answered new routes with 404 meanwhile. Each read of the store was given up after 400 ms without a connection, or 900 ms after the first byte of its body, and began from nothing: two nodes had read 81,827 of 84,421 bytes when their watch was cut. Packets wait up to 2.4 s at such a link, so that no attempt could succeed before the uploads ended.

The watch of the configuration now has a client of its own that waits 2.5 s for a connection and for the head, and reads a body as long as it keeps arriving: pauses of 900 ms, less than 32 KB/s, or 5 s in all end it. Calls on which leases and writes wait keep their timeouts.

--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -65,6 +65,9 @@
 	self  fleet.Entry
 	pool  *ants.Pool
 	store *platform.StoreClient
+	// watchStore follows the configuration, which is large and must arrive over
+	// a full link as well.
+	watchStore *platform.StoreClient
 
 	routes        routes.CurrentTable
 	configs       *configs.Keeper
@@ -109,13 +112,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, log: cfg.Log, clock: NewBootClock(), self: self, pool: pool,
-		store: platform.NewStoreClient(s.StoreAddress), peerClient: peers.NewClient(),
+		store: platform.NewStoreClient(s.StoreAddress, platform.BriskTimeouts()), watchStore: platform.NewStoreClient(s.StoreAddress, platform.PatientTimeouts()), peerClient: peers.NewClient(),
 		budget: dispatch.NewRetryBudget(dispatch.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, MinRetries: s.Bounds.MinRetries, Window: s.Bounds.RetryWindow,
 		}),
 		metrics: newNodeMetrics(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
 	}
 	n.store.OnCall(n.logSlowCall)
+	n.watchStore.OnCall(n.logSlowCall)
 	n.delays = peers.NewDelayEstimator(n.clock)
 	n.linkUsage.Store(&linkUsage{})
 	n.controllers.Store(&map[core.Service]*keys.Controller{})
@@ -227,7 +231,7 @@
 	}
 	n.inbound.Start()
 	n.outbound.Start()
-	config := &watch.Watcher{Kind: platform.ConfigKind, Store: n.store, Handler: configHandler{n}, Log: n.log}
+	config := &watch.Watcher{Kind: platform.ConfigKind, Store: n.watchStore, Handler: configHandler{n}, Log: n.log}
 	n.runLoop(config.Run)
 	n.runLoop(n.pollConfig)
 	n.runLoop(n.syncObjects)
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -64,6 +64,7 @@
 	}
 	old := n.cfg.Settings
 	n.store.SetAddress(s.StoreAddress)
+	n.watchStore.SetAddress(s.StoreAddress)
 	s.StoreAddress = old.StoreAddress
 	n.log.WithFields(log.Fields{"cause": cause, "needs_restart": s != old, "store": n.store.Address()}).Info("settings file read again; only the store's address takes effect without a restart")
 }
