sidecar/watch: list a configuration that changes faster than it is read

A watch returns every change of an object since its revision, for the configuration each time with all routes. A node behind a slow link that was reading one version got the next few in one response, took longer for them, and then got more, until no response arrived within a call's timeout; the watch was repeated from the same revision, with even more to read.

After a response with several changes of one object, and after one that began and broke off, the watcher lists the objects: a listing has each object once. Of several changes only the last is passed on.

--- a/sidecar/watch/watch.go
+++ b/sidecar/watch/watch.go
@@ -1,6 +1,7 @@
 // Package watch follows the objects of one kind in the platform's store. It lists
 // the objects and then watches for changes. When the store no longer has the
-// history since the last call, it lists them again.
+// history since the last call, or when changes come faster than they are read, it
+// lists them again: a listing has each object once, a watch each of its changes.
 package watch
 
 import (
@@ -99,23 +100,45 @@
 		return listing.Revision, nil
 	}
 	changes, err := w.Store.Watch(ctx, w.Kind, revision, watchTimeout)
-	if platform.FaultOf(err) == platform.FaultHistoryGone {
+	switch {
+	case platform.FaultOf(err) == platform.FaultHistoryGone:
 		w.Log.WithFields(log.Fields{"kind": w.Kind, "revision": revision}).Info("store has dropped the history since this revision; listing the objects again")
 		return 0, nil
-	}
-	if err != nil {
+	case platform.ResponseBegan(err):
+		// There are changes, and more of them at the next attempt.
+		return 0, err
+	case err != nil:
 		return revision, err
 	}
-	for _, e := range changes.Events {
+	latest := latestEvents(changes.Events)
+	for _, e := range latest {
 		if e.Deleted {
 			w.Handler.Delete(e.Object)
 		} else {
 			w.Handler.Put(e.Object)
 		}
 	}
+	if len(latest) < len(changes.Events) {
+		return 0, nil
+	}
 	return max(revision, changes.Revision), nil
 }
 
+// latestEvents returns the last event of each object, in their order.
+func latestEvents(events []platform.Event) []platform.Event {
+	last := make(map[string]int, len(events))
+	for i, e := range events {
+		last[e.Object.Name] = i
+	}
+	latest := make([]platform.Event, 0, len(last))
+	for i, e := range events {
+		if last[e.Object.Name] == i {
+			latest = append(latest, e)
+		}
+	}
+	return latest
+}
+
 // delayAfter returns the delay before the next call after a number of failures in
 // a row.
 func delayAfter(failures int) time.Duration {
