sidecar: refuse what a newer configuration may decide otherwise

They knew within half a second from beacons that others had a newer version.

A node that lacks a version which two other live nodes have answers 503 instead of 404 at once, and refuses requests on routes that it has after 500 ms; nothing of such a request has run. It refuses only where the versions differ: for 10 s after a new version, beacons carry a digest of 64 bytes, 16 bits for each of 32 groups of hosts, that the node compares with that of its own routes. A version that a single one of several nodes announces is not believed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,9 @@
 	ReadDelayMicros int64   `json:"d,omitempty"`
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion uint64 `json:"c"`
+	// ConfigDigest describes the routes of the configuration in force, while
+	// that is new. Nodes that do not have it yet compare it with their own.
+	ConfigDigest []byte `json:"h,omitempty"`
 	// TableVersions are the versions of the key tables that the node has.
 	TableVersions map[core.Service]uint64 `json:"t,omitempty"`
 	// UnconfirmedMs holds, for each service that the node coordinates, how long
@@ -125,6 +128,7 @@
 	firstSeenAt   clock.Instant // first entry or beacon of this incarnation
 	lastBeaconAt  clock.Instant // zero before any beacon
 	configVersion uint64
+	configDigest  []byte
 	tableVersions map[core.Service]uint64
 	unconfirmedMs map[core.Service]int64
 	alive         bool
@@ -195,6 +199,9 @@
 		n.alive, v.changed = true, true
 	}
 	n.lastBeaconAt = now
+	if b.ConfigVersion != n.configVersion || len(b.ConfigDigest) > 0 {
+		n.configDigest = b.ConfigDigest
+	}
 	n.configVersion, n.tableVersions, n.unconfirmedMs = b.ConfigVersion, b.TableVersions, b.UnconfirmedMs
 	n.load.SetUsage(Usage{
 		Running: b.Running, Waiting: b.Waiting, MeanServiceTime: time.Duration(b.MeanServiceMicros) * time.Microsecond,
@@ -282,28 +289,6 @@
 	return 0
 }
 
-// FindNewerConfig returns a live node whose configuration is newer than
-// version, or false.
-func (v *View) FindNewerConfig(version uint64) (Entry, bool) {
-	for id, n := range v.nodes {
-		if id != v.self && n.alive && n.configVersion > version {
-			return n.entry, true
-		}
-	}
-	return Entry{}, false
-}
-
-// FindNewerTable returns a live node whose key table of a service is newer than
-// version, or false.
-func (v *View) FindNewerTable(service core.Service, version uint64) (Entry, bool) {
-	for id, n := range v.nodes {
-		if id != v.self && n.alive && n.tableVersions[service] > version {
-			return n.entry, true
-		}
-	}
-	return Entry{}, false
-}
-
 // CoordinatorRank returns this node's place, from 0, among the live candidates
 // to coordinate a service. Much stronger VMs come first, since a coordinator
 // answers all members several times within a lease. Nodes of other services
--- a/routes/table.go
+++ b/routes/table.go
@@ -10,8 +10,10 @@
 // Table is an immutable Config, indexed for lookups. It is safe for concurrent
 // use.
 type Table struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Digest describes the routes.
+	Digest   Digest
 	byPrefix map[hostPrefix]*MatchedRoute
 	services map[core.Service]Service
 }
@@ -47,6 +49,7 @@
 			matched.totalWeight += max(0, destination.Weight)
 		}
 		t.byPrefix[key] = matched
+		t.Digest.add(r)
 	}
 	return t
 }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -150,7 +150,7 @@
 	n.peerLinks = newPeerLinks(n)
 	n.router = router.New(router.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Origin: s.Service, Clock: n.clock, Log: n.log, Routes: &n.routes,
-		FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
+		NewerConfig: n.nodes.NewerConfig, FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
 	})
 	return nil
 }
@@ -362,7 +362,7 @@
 func (n *Node) localStatus() nodes.Status {
 	status := nodes.Status{Usage: n.Load()}
 	if t := n.routes.Load(); t != nil {
-		status.ConfigVersion = t.Version
+		status.ConfigVersion, status.ConfigDigest = t.Version, t.Digest.Encode()
 	}
 	for s, c := range *n.controllers.Load() {
 		keyStatus := c.Status()
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -41,6 +41,7 @@
 type Status struct {
 	Usage         fleet.Usage
 	ConfigVersion uint64
+	ConfigDigest  []byte
 	TableVersions map[core.Service]uint64
 	UnconfirmedMs map[core.Service]int64
 }
@@ -84,6 +85,7 @@
 	cfg      Config
 	messages *ring.Ring[message]
 	snapshot atomic.Pointer[fleet.Snapshot]
+	newer    atomic.Pointer[fleet.NewerConfig]
 }
 
 // message is one input of the tracker's event loop.
@@ -110,6 +112,10 @@
 // Snapshot returns the present view of the fleet. It must not be changed.
 func (t *Tracker) Snapshot() *fleet.Snapshot { return t.snapshot.Load() }
 
+// NewerConfig returns the newest configuration that other nodes have if it is
+// newer than this node's at the last tick, or nil.
+func (t *Tracker) NewerConfig() *fleet.NewerConfig { return t.newer.Load() }
+
 // RingStats returns the counters of the tracker's ring.
 func (t *Tracker) RingStats() ring.Stats { return t.messages.Stats() }
 
@@ -139,6 +145,11 @@
 	self           fleet.Entry
 	lastBeaconTime clock.Instant
 	lostNodes      map[core.NodeID]bool
+	lag            fleet.ConfigLag
+	// announcedVersion is the version of the configuration in the last beacon,
+	// and announcedAt when it was announced first.
+	announcedVersion uint64
+	announcedAt      clock.Instant
 	// nextFetch holds the instant at which the newer key table of a service may
 	// be requested next, and that of the configuration under the empty name.
 	nextFetch map[core.Service]clock.Instant
@@ -218,12 +229,22 @@
 	}
 }
 
+// digestPeriod is how long beacons describe the routes of a new configuration.
+// Nodes that lack it for longer are cut off.
+const digestPeriod = 10 * time.Second
+
 func (s *state) encodeBeacon() ([]byte, bool) {
 	local := s.cfg.LocalStatus()
+	if local.ConfigVersion != s.announcedVersion {
+		s.announcedVersion, s.announcedAt = local.ConfigVersion, s.now()
+	}
+	if s.now().Sub(s.announcedAt) >= digestPeriod {
+		local.ConfigDigest = nil
+	}
 	data, err := peers.EncodeBeacon(fleet.Beacon{
 		Entry: s.self, Running: local.Usage.Running, Waiting: local.Usage.Waiting, MeanServiceMicros: local.Usage.MeanServiceTime.Microseconds(),
 		LinkShare: local.Usage.LinkShare, ReadDelayMicros: local.Usage.ReadDelay.Microseconds(),
-		FailedShare: local.Usage.FailedShare, ConfigVersion: local.ConfigVersion, TableVersions: local.TableVersions, UnconfirmedMs: local.UnconfirmedMs,
+		FailedShare: local.Usage.FailedShare, ConfigVersion: local.ConfigVersion, ConfigDigest: local.ConfigDigest, TableVersions: local.TableVersions, UnconfirmedMs: local.UnconfirmedMs,
 	})
 	if err != nil {
 		s.cfg.Log.WithError(err).Error("encoding this node's beacon failed; no beacon is sent")
@@ -272,6 +293,7 @@
 // nodes have a newer version.
 func (s *state) requestNewerDocuments(now clock.Instant) {
 	local := s.cfg.LocalStatus()
+	s.newer.Store(s.lag.Update(now, local.ConfigVersion, s.view.NewestConfig()))
 	e, ok := s.view.FindNewerConfig(local.ConfigVersion)
 	s.requestNewer(now, NewerDocument{Address: e.PeerAddress}, ok)
 	for service, version := range local.TableVersions {
--- a/sidecar/nodes/nodes_test.go
+++ b/sidecar/nodes/nodes_test.go
@@ -85,3 +85,34 @@
 		}
 	}
 }
+
+// Guards against a node that does not tell its router that its configuration is
+// older than that of others, or still does when it has theirs.
+func TestNewerConfigurationIsPublished(t *testing.T) {
+	socket := fakeSocket{make(chan fleet.Beacon)}
+	var version atomic.Uint64
+	version.Store(3)
+	tracker := New(Config{
+		Self: fleet.Entry{Node: "me", Incarnation: 1}, Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default}, Socket: socket,
+		LocalStatus:     func() Status { return Status{ConfigVersion: version.Load()} },
+		KeyControllers:  func() map[core.Service]KeyController { return nil },
+		OnTick:          func(clock.Instant, int) {},
+		OnNewerDocument: func(NewerDocument) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go tracker.Run(ctx)
+	go tracker.Receive(ctx)
+	defer close(socket.beacons)
+	must.Nil(t, tracker.NewerConfig())
+	for _, id := range []core.NodeID{"a", "b"} {
+		socket.beacons <- fleet.Beacon{Entry: fleet.Entry{Node: id, Incarnation: 2, PeerAddress: "there", Serial: 1}, ConfigVersion: 5, ConfigDigest: []byte{7}}
+	}
+	waitUntil := func(f func() bool) {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
+	}
+	waitUntil(func() bool { return tracker.NewerConfig() != nil })
+	must.Eq(t, fleet.AnnouncedConfig{Version: 5, Digest: []byte{7}}, tracker.NewerConfig().AnnouncedConfig)
+	version.Store(5)
+	waitUntil(func() bool { return tracker.NewerConfig() == nil })
+}
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -38,6 +38,10 @@
 	// noConfigRetryAfter is the Retry-After for callers that come before the
 	// node has a configuration.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// oldRouteGrace is how long a node decides by a route that a newer
+	// configuration may have changed, from when it hears of that. Usually it has
+	// the newer one within milliseconds.
+	oldRouteGrace = 500 * time.Millisecond
 	// A refusal that names no Retry-After gets a random one between
 	// minRetryAfter and maxRetryAfter, which spreads the retries of callers.
 	// Moves of keys and restarts take about that long.
@@ -59,6 +63,9 @@
 	Clock  clock.Clock
 	Log    log.Interface
 	Routes *routes.CurrentTable
+	// NewerConfig returns a configuration that other nodes have and this one
+	// does not, or nil.
+	NewerConfig func() *fleet.NewerConfig
 	// FleetSnapshot returns the present view of the fleet.
 	FleetSnapshot func() *fleet.Snapshot
 	// KeyController returns the key controller of a service, or nil if the
@@ -204,6 +211,9 @@
 		}
 	}
 	route, ok := q.routeTable.Match(host, q.req.Path)
+	if err := q.checkNewerConfig(host, ok); err != nil {
+		return err
+	}
 	if !ok {
 		return core.Fail(core.CodeNotFound, "no route matches the path on host "+host)
 	}
@@ -221,6 +231,25 @@
 	return q.parseKey()
 }
 
+// checkNewerConfig refuses a request that the node cannot decide, because other
+// nodes have a configuration that it lacks and that differs in the routes of the
+// host. A route that is missing may be new, so that 404 would be wrong; one that
+// is found may have been removed or lead elsewhere.
+func (q *request) checkNewerConfig(host string, found bool) *core.Error {
+	newer := q.cfg.NewerConfig()
+	if newer == nil || newer.Version <= q.routeTable.Version {
+		return nil
+	}
+	digest, known := routes.DecodeDigest(newer.Digest)
+	if known && q.routeTable.Digest.SameForHost(digest, host) || found && q.cfg.Clock.Now().Sub(newer.Since) < oldRouteGrace {
+		return nil
+	}
+	return &core.Error{
+		Code: core.CodeStaleRevision, RetryAfter: noConfigRetryAfter,
+		Detail: "the node lacks version " + strconv.FormatUint(newer.Version, 10) + " of the configuration, which may have other routes of the host",
+	}
+}
+
 // defaultTimeout bounds requests for which neither the caller nor the route sets
 // a timeout.
 const defaultTimeout = 30 * time.Second
--- a/sidecar/router/router_test.go
+++ b/sidecar/router/router_test.go
@@ -86,6 +86,7 @@
 	budget.Advance(clk.Now(), []core.Service{"s"}, 1)
 	return New(Config{
 		Node: "x", Origin: "origin", Clock: clk, Log: &log.Logger{Handler: discard.Default}, Routes: &current,
+		NewerConfig:   func() *fleet.NewerConfig { return nil },
 		FleetSnapshot: func() *fleet.Snapshot { return &fleet.Snapshot{ByService: map[core.Service][]*fleet.Peer{"s": peers}} },
 		KeyController: func(core.Service) *keys.Controller { return nil },
 		Budget:        budget, Sender: s, OnRequestEnd: onEnd,
