peers: wait for a document longer than the delay of a full link

A node that hears of a newer configuration or key table asks others for it.

Documents have a client of their own, with 2.5 s for the connection and 4 s in all. A further call still starts each 400 ms, to another node, until three are in progress, so that the pool keeps workers for leases.

--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -301,3 +301,25 @@
 		})
 	}
 }
+
+// Guards against a document that never arrives over a full link, because each
+// call for it ends before the delay of the link has passed.
+func TestDocumentArrivesAfterDelayOfFullLink(t *testing.T) {
+	const delay = 1500 * time.Millisecond
+	want := DocumentAnswer{Revision: 9, Spec: json.RawMessage(`{"version":"1"}`)}
+	address := startRawPeer(t, func(c net.Conn) {
+		head, ok := readCall(bufio.NewReader(c))
+		if !ok {
+			return
+		}
+		answer := withBody(head, encodeAnswer(t, want))
+		time.Sleep(delay)
+		for _, part := range []string{answer[:len(answer)/2], answer[len(answer)/2:]} {
+			_, _ = io.WriteString(c, part)
+			time.Sleep(delay / 2)
+		}
+	})
+	a, err := NewClient().Document(context.Background(), address, DocumentRequest{Kind: "config"})
+	must.NoError(t, err)
+	must.Eq(t, want, a)
+}
--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -19,6 +19,11 @@
 const (
 	// callTimeout bounds a call; members report every 400 ms.
 	callTimeout = 700 * time.Millisecond
+	// documentTimeout bounds a call for a document, and documentDialTimeout its
+	// connection. Packets wait up to 2.4 s at a link that uploads fill; shorter
+	// attempts would all fail there, and each begins from nothing.
+	documentTimeout     = 4 * time.Second
+	documentDialTimeout = 2500 * time.Millisecond
 	// maxMessageBytes bounds a message; a thousand rows take 100 KB.
 	maxMessageBytes = 2 << 20
 	// maxBodyBytes bounds a body. It is one more than a message has, because
@@ -39,13 +44,23 @@
 
 // Client calls other nodes. It is safe for concurrent use. Its errors are of
 // type *CallError.
-type Client struct{ http *http.Client }
+type Client struct{ calls, documents httpClient }
+
+// httpClient is an HTTP client and the timeout of its calls.
+type httpClient struct {
+	*http.Client
+	timeout time.Duration
+}
 
 // NewClient returns a client. It connects on the first call to each node.
 func NewClient() *Client {
-	return &Client{http: &http.Client{
+	return &Client{calls: newHTTPClient(callDialTimeout, callTimeout), documents: newHTTPClient(documentDialTimeout, documentTimeout)}
+}
+
+func newHTTPClient(dialTimeout, timeout time.Duration) httpClient {
+	return httpClient{timeout: timeout, Client: &http.Client{
 		Transport: &callTransport{http: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: callDialTimeout}).DialContext, IdleConnTimeout: callIdleTimeout,
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, IdleConnTimeout: callIdleTimeout,
 			MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -95,23 +110,23 @@
 // Report sends a member's report to the coordinator at address, host:port, and
 // returns the coordinator's answer.
 func (c *Client) Report(ctx context.Context, address string, r shards.LeaseRequest) (shards.LeaseAnswer, error) {
-	return callPeer[shards.LeaseRequest, shards.LeaseAnswer](ctx, c, address, reportProcedure, r)
+	return callPeer[shards.LeaseRequest, shards.LeaseAnswer](ctx, c.calls, address, reportProcedure, r)
 }
 
 // StepDown tells the coordinator at address, host:port, that it was replaced.
 func (c *Client) StepDown(ctx context.Context, address string, r StepDownRequest) (StepDownAnswer, error) {
-	return callPeer[StepDownRequest, StepDownAnswer](ctx, c, address, stepDownProcedure, r)
+	return callPeer[StepDownRequest, StepDownAnswer](ctx, c.calls, address, stepDownProcedure, r)
 }
 
 // Document asks the node at address, host:port, for its copy of a store object.
 func (c *Client) Document(ctx context.Context, address string, r DocumentRequest) (DocumentAnswer, error) {
-	return callPeer[DocumentRequest, DocumentAnswer](ctx, c, address, documentProcedure, r)
+	return callPeer[DocumentRequest, DocumentAnswer](ctx, c.documents, address, documentProcedure, r)
 }
 
-func callPeer[Req, Res any](ctx context.Context, c *Client, address, procedure string, r Req) (Res, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func callPeer[Req, Res any](ctx context.Context, c httpClient, address, procedure string, r Req) (Res, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	client := connect.NewClient[Req, Res](c.http, "http://"+address+procedure,
+	client := connect.NewClient[Req, Res](c, "http://"+address+procedure,
 		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
 	res, err := client.CallUnary(ctx, connect.NewRequest(&r))
 	if err != nil {
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -67,37 +68,55 @@
 	return peers.DocumentAnswer{Revision: t.Revision, Spec: spec}
 }
 
-// fetchDocument fetches a document of which another node has a newer version.
+// maxDocumentFetches bounds the calls for one document at the same time. Each
+// may take seconds over a full link, and the pool has leases to renew as well.
+const maxDocumentFetches = 3
+
+// fetchDocument fetches a document of which another node has a newer version,
+// unless enough calls for it are in progress.
 func (n *Node) fetchDocument(newer nodes.NewerDocument) {
-	request := peers.DocumentRequest{Kind: platform.ConfigKind, Name: platform.ConfigName}
-	if newer.Service != "" {
-		request = peers.DocumentRequest{Kind: objectKind, Name: string(newer.Service)}
+	slot, _ := n.documentFetches.LoadOrStore(newer.Service, &atomic.Int64{})
+	inProgress := slot.(*atomic.Int64)
+	if inProgress.Add(1) > maxDocumentFetches {
+		inProgress.Add(-1)
+		return
 	}
 	err := n.pool.Submit(func() {
-		started := time.Now()
-		a, err := n.peerClient.Document(n.ctx, newer.Address, request)
-		took := time.Since(started)
-		if err != nil || len(a.Spec) == 0 {
-			n.log.WithFields(log.Fields{"peer": newer.Address, "kind": request.Kind, "took_ms": took.Milliseconds(), "error": err}).Info("fetching a newer document from another node failed")
-			return
-		}
-		if took >= slowTransfer {
-			n.log.WithFields(log.Fields{
-				"peer": newer.Address, "kind": request.Kind, "revision": a.Revision, "bytes": len(a.Spec), "took_ms": took.Milliseconds(),
-			}).Info("newer document of another node took long")
-		}
-		o := platform.Object{Name: request.Name, Revision: a.Revision, Spec: a.Spec}
-		if newer.Service == "" {
-			n.configs.Offer(n.ctx, configs.Offer{Object: o, Source: "peer"})
-		} else {
-			n.applyTable(newer.Service, o)
-		}
+		defer inProgress.Add(-1)
+		n.requestDocument(newer)
 	})
 	if err != nil {
+		inProgress.Add(-1)
 		n.log.WithError(err).Warn("newer document of another node not fetched: no pool worker is free")
 	}
 }
 
+// requestDocument asks another node for a document and passes it on.
+func (n *Node) requestDocument(newer nodes.NewerDocument) {
+	request := peers.DocumentRequest{Kind: platform.ConfigKind, Name: platform.ConfigName}
+	if newer.Service != "" {
+		request = peers.DocumentRequest{Kind: objectKind, Name: string(newer.Service)}
+	}
+	started := time.Now()
+	a, err := n.peerClient.Document(n.ctx, newer.Address, request)
+	took := time.Since(started)
+	if err != nil || len(a.Spec) == 0 {
+		n.log.WithFields(log.Fields{"peer": newer.Address, "kind": request.Kind, "took_ms": took.Milliseconds(), "error": err}).Info("fetching a newer document from another node failed")
+		return
+	}
+	if took >= slowTransfer {
+		n.log.WithFields(log.Fields{
+			"peer": newer.Address, "kind": request.Kind, "revision": a.Revision, "bytes": len(a.Spec), "took_ms": took.Milliseconds(),
+		}).Info("newer document of another node took long")
+	}
+	o := platform.Object{Name: request.Name, Revision: a.Revision, Spec: a.Spec}
+	if newer.Service == "" {
+		n.configs.Offer(n.ctx, configs.Offer{Object: o, Source: "peer"})
+	} else {
+		n.applyTable(newer.Service, o)
+	}
+}
+
 // slowTransfer is the time from which a read of the store or of another node is
 // logged. A full link shows as such reads, since they take milliseconds
 // otherwise.
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -83,9 +83,13 @@
 	linkUsage     atomic.Pointer[linkUsage]
 	controllers   atomic.Pointer[map[core.Service]*keys.Controller]
 	pendingTables sync.Map // pendingTable by core.Service
-	metrics       *nodeMetrics
-	ready         atomic.Bool
-	stopping      atomic.Bool
+	// documentFetches counts the calls in progress for key tables, as
+	// *atomic.Int64 by core.Service, and for the configuration under the empty
+	// name.
+	documentFetches sync.Map
+	metrics         *nodeMetrics
+	ready           atomic.Bool
+	stopping        atomic.Bool
 
 	outbound, inbound         *frontend.Frontend
 	reportServer, readyServer *httpServer
