--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -65,6 +65,9 @@
 	self  fleet.Entry
 	pool  *ants.Pool
 	store *platform.StoreClient
+	// watchStore follows the configuration, which is large and must arrive over
+	// a full link as well.
+	watchStore *platform.StoreClient
 
 	routes        routes.CurrentTable
 	configs       *configs.Keeper
@@ -80,9 +83,13 @@
 	linkUsage     atomic.Pointer[linkUsage]
 	controllers   atomic.Pointer[map[core.Service]*keys.Controller]
 	pendingTables sync.Map // pendingTable by core.Service
-	metrics       *nodeMetrics
-	ready         atomic.Bool
-	stopping      atomic.Bool
+	// documentFetches counts the calls in progress for key tables, as
+	// *atomic.Int64 by core.Service, and for the configuration under the empty
+	// name.
+	documentFetches sync.Map
+	metrics         *nodeMetrics
+	ready           atomic.Bool
+	stopping        atomic.Bool
 
 	outbound, inbound         *frontend.Frontend
 	reportServer, readyServer *httpServer
@@ -109,13 +116,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, log: cfg.Log, clock: NewBootClock(), self: self, pool: pool,
-		store: platform.NewStoreClient(s.StoreAddress), peerClient: peers.NewClient(),
+		store: platform.NewStoreClient(s.StoreAddress, platform.BriskTimeouts()), watchStore: platform.NewStoreClient(s.StoreAddress, platform.PatientTimeouts()), peerClient: peers.NewClient(),
 		budget: dispatch.NewRetryBudget(dispatch.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, MinRetries: s.Bounds.MinRetries, Window: s.Bounds.RetryWindow,
 		}),
 		metrics: newNodeMetrics(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
 	}
 	n.store.OnCall(n.logSlowCall)
+	n.watchStore.OnCall(n.logSlowCall)
 	n.delays = peers.NewDelayEstimator(n.clock)
 	n.linkUsage.Store(&linkUsage{})
 	n.controllers.Store(&map[core.Service]*keys.Controller{})
@@ -146,7 +154,7 @@
 	n.peerLinks = newPeerLinks(n)
 	n.router = router.New(router.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Origin: s.Service, Clock: n.clock, Log: n.log, Routes: &n.routes,
-		FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
+		NewerConfig: n.nodes.NewerConfig, FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
 	})
 	return nil
 }
@@ -227,7 +235,7 @@
 	}
 	n.inbound.Start()
 	n.outbound.Start()
-	config := &watch.Watcher{Kind: platform.ConfigKind, Store: n.store, Handler: configHandler{n}, Log: n.log}
+	config := &watch.Watcher{Kind: platform.ConfigKind, Store: n.watchStore, Handler: configHandler{n}, Log: n.log}
 	n.runLoop(config.Run)
 	n.runLoop(n.pollConfig)
 	n.runLoop(n.syncObjects)
@@ -358,7 +366,7 @@
 func (n *Node) localStatus() nodes.Status {
 	status := nodes.Status{Usage: n.Load()}
 	if t := n.routes.Load(); t != nil {
-		status.ConfigVersion = t.Version
+		status.ConfigVersion, status.ConfigDigest = t.Version, t.Digest.Encode()
 	}
 	for s, c := range *n.controllers.Load() {
 		keyStatus := c.Status()
