shards: send a member its rows at each takeover

After a change of the coordinator a member could lose all its keys for good: its backend server got a grant without keys, callers were refused, and the record still named it as the holder. Only a later change of its rows ended that.

A coordinator sends the rows only if their version differs from the one that the member names. Each coordinator counts versions from 1, so that the first answer of a new one names version 1. A member that had version 1 from the former coordinator, because its rows had not changed since that one's first answer, got no rows, and took the version for that of no rows. The rows are now sent as well when the member names an earlier term.

Two takeovers without a change of the assignment between them have the same effect on all members.

TestMemberKeepsRowsAtTakeover failed before at term 2 with a grant of no rows.

--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -215,7 +215,9 @@
 		state.rowsVersion++
 	}
 	a.Version = state.rowsVersion
-	if a.Version != r.Rows {
+	// The version of a member that knows of an earlier term only is the count of
+	// an earlier coordinator.
+	if a.Version != r.Rows || r.Term < c.record.Term {
 		a.Rows = rows
 	}
 	if c.hasAuthority(now) && !state.leaseWithheld {
