sidecar: encode a key table once for all nodes that fetch it

The record was encoded and compressed anew for each of them: 2.3 ms, 0.3 ms and 0.85 ms for 58 members with 64 rows each, measured beside other load.

--- a/peers/calls.go
+++ b/peers/calls.go
@@ -1,8 +1,10 @@
 package peers
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -88,7 +90,19 @@
 		func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
 			res := answer(ctx, *r.Msg)
 			return connect.NewResponse(&res), nil
-		}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes)))
+		}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes), withFastGzip()))
+}
+
+// withFastGzip compresses answers at the fastest level: documents go to all other
+// nodes at once, and the default level takes twice as long for the same size.
+func withFastGzip() connect.HandlerOption {
+	return connect.WithCompression("gzip",
+		func() connect.Decompressor { return &gzip.Reader{} },
+		func() connect.Compressor {
+			// The level is valid, so that there is no error.
+			w, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+			return w
+		})
 }
 
 // NewServer returns an HTTP server that passes the calls to h.
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"marjoramshore.example/shards"
 	"marjoramshore.example/shards/record"
 	"marjoramshore.example/sidecar/configs"
+	"marjoramshore.example/sidecar/keys"
 	"marjoramshore.example/sidecar/nodes"
 )
 
@@ -60,7 +62,7 @@
 		return peers.DocumentAnswer{}
 	}
 	t := c.Table()
-	spec, err := record.Encode(t.Assignment)
+	spec, err := h.node.encodedTables.encode(t)
 	if err != nil {
 		h.node.log.WithError(err).Error("encoding a key table for another node failed")
 		return peers.DocumentAnswer{}
@@ -68,6 +70,29 @@
 	return peers.DocumentAnswer{Revision: t.Revision, Spec: spec}
 }
 
+// tableEncoder encodes key tables and keeps the last one of each service. All
+// other nodes fetch a new table at once from the node that announces it, and
+// encoding one takes milliseconds. It is safe for concurrent use.
+type tableEncoder struct{ byService sync.Map }
+
+// encodedTable is a table and its record.
+type encodedTable struct {
+	table *keys.Table
+	spec  []byte
+}
+
+func (e *tableEncoder) encode(t *keys.Table) ([]byte, error) {
+	if last, ok := e.byService.Load(t.Service); ok && last.(*encodedTable).table == t {
+		return last.(*encodedTable).spec, nil
+	}
+	spec, err := record.Encode(t.Assignment)
+	if err != nil {
+		return nil, err
+	}
+	e.byService.Store(t.Service, &encodedTable{t, spec})
+	return spec, nil
+}
+
 // maxDocumentFetches bounds the calls for one document at the same time. Each
 // may take seconds over a full link, and the pool has leases to renew as well.
 const maxDocumentFetches = 3
--- a/sidecar/fetch_test.go
+++ b/sidecar/fetch_test.go
@@ -12,7 +12,11 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
+	"marjoramshore.example/core"
 	"marjoramshore.example/peers"
+	"marjoramshore.example/shards"
+	"marjoramshore.example/shards/record"
+	"marjoramshore.example/sidecar/keys"
 	"marjoramshore.example/sidecar/nodes"
 )
 
@@ -43,3 +47,24 @@
 		return true
 	})
 }
+
+// Guards against a key table that is in force late on all nodes, because the
+// coordinator's node encodes it anew for each of them.
+func TestTableIsEncodedOnceForAllNodes(t *testing.T) {
+	tableOf := func(service core.Service, fence int64) *keys.Table {
+		row := shards.Row{Span: shards.Span{From: 0, To: shards.KeyCount - 1}, Holder: shards.Holder{Node: "n", Instance: "i"}, Fence: fence}
+		return &keys.Table{Assignment: shards.Assignment{Service: service, NextFence: fence + 1, Rows: []shards.Row{row}}}
+	}
+	var e tableEncoder
+	first, other, next := tableOf("s", 1), tableOf("o", 7), tableOf("s", 2)
+	for _, table := range []*keys.Table{first, other, first, next, other, next, first} {
+		spec, err := e.encode(table)
+		must.NoError(t, err)
+		decoded, err := record.Decode(spec)
+		must.NoError(t, err)
+		must.Eq(t, table.Assignment, decoded)
+		again, err := e.encode(table)
+		must.NoError(t, err)
+		must.True(t, &spec[0] == &again[0], must.Sprint("encoded twice"))
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -87,6 +87,7 @@
 	// *atomic.Int64 by core.Service, and for the configuration under the empty
 	// name.
 	documentFetches sync.Map
+	encodedTables   tableEncoder
 	metrics         *nodeMetrics
 	ready           atomic.Bool
 	stopping        atomic.Bool
