sidecar: refuse on changed routes after two fifths of the deadline

A node that lacks a configuration refused requests on routes that this may have changed 500 ms after it had heard of it.

--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -155,7 +155,7 @@
 	n.peerLinks = newPeerLinks(n)
 	n.router = router.New(router.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Origin: s.Service, Clock: n.clock, Log: n.log, Routes: &n.routes,
-		NewerConfig: n.nodes.NewerConfig, FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
+		NewerConfig: n.nodes.NewerConfig, ConfigDeadline: s.Bounds.ConfigDeadline, FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
 	})
 	return nil
 }
--- a/sidecar/router/newer_test.go
+++ b/sidecar/router/newer_test.go
@@ -17,7 +17,9 @@
 // changed, and against refusals where both are the same. Nodes with full links
 // had a new configuration after up to 13.7 s although they heard of it at once.
 func TestNodeDoesNotDecideByOldConfiguration(t *testing.T) {
-	const grace = oldRouteGrace
+	const deadline = 2500 * time.Millisecond
+	grace := oldRouteGrace(deadline)
+	must.Between(t, time.Millisecond, grace, deadline/2)
 	newTable := func(hosts ...string) *routes.Table {
 		c := routes.Config{Version: 3}
 		for _, host := range hosts {
@@ -51,6 +53,7 @@
 			r := newRouter(s, routes.Idempotent, func(Summary) {})
 			r.cfg.Routes = &routes.CurrentTable{}
 			r.cfg.Routes.ReplaceIfNewer(own)
+			r.cfg.ConfigDeadline = deadline
 			r.cfg.NewerConfig = func() *fleet.NewerConfig {
 				return &fleet.NewerConfig{AnnouncedConfig: fleet.AnnouncedConfig{Version: c.version, Digest: c.digest}, Since: r.cfg.Clock.Now().Add(-c.heard)}
 			}
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -38,10 +38,6 @@
 	// noConfigRetryAfter is the Retry-After for callers that come before the
 	// node has a configuration.
 	noConfigRetryAfter = 300 * time.Millisecond
-	// oldRouteGrace is how long a node decides by a route that a newer
-	// configuration may have changed, from when it hears of that. Usually it has
-	// the newer one within milliseconds.
-	oldRouteGrace = 500 * time.Millisecond
 	// A refusal that names no Retry-After gets a random one between
 	// minRetryAfter and maxRetryAfter, which spreads the retries of callers.
 	// Moves of keys and restarts take about that long.
@@ -66,6 +62,9 @@
 	// NewerConfig returns a configuration that other nodes have and this one
 	// does not, or nil.
 	NewerConfig func() *fleet.NewerConfig
+	// ConfigDeadline is the time within which a new configuration must be in
+	// force.
+	ConfigDeadline time.Duration
 	// FleetSnapshot returns the present view of the fleet.
 	FleetSnapshot func() *fleet.Snapshot
 	// KeyController returns the key controller of a service, or nil if the
@@ -235,13 +234,17 @@
 // nodes have a configuration that it lacks and that differs in the routes of the
 // host. A route that is missing may be new, so that 404 would be wrong; one that
 // is found may have been removed or lead elsewhere.
+//
+// It decides by the present route for a part of the deadline, since it usually
+// has the newer configuration within milliseconds. The rest is for beacons that
+// wait at a full link.
 func (q *request) checkNewerConfig(host string, found bool) *core.Error {
 	newer := q.cfg.NewerConfig()
 	if newer == nil || newer.Version <= q.routeTable.Version {
 		return nil
 	}
 	digest, known := routes.DecodeDigest(newer.Digest)
-	if known && q.routeTable.Digest.SameForHost(digest, host) || found && q.cfg.Clock.Now().Sub(newer.Since) < oldRouteGrace {
+	if known && q.routeTable.Digest.SameForHost(digest, host) || found && q.cfg.Clock.Now().Sub(newer.Since) < oldRouteGrace(q.cfg.ConfigDeadline) {
 		return nil
 	}
 	return &core.Error{
@@ -250,6 +253,10 @@
 	}
 }
 
+// oldRouteGrace returns how long a node decides by a route that a newer
+// configuration may have changed, from when it hears of that.
+func oldRouteGrace(configDeadline time.Duration) time.Duration { return configDeadline * 2 / 5 }
+
 // defaultTimeout bounds requests for which neither the caller nor the route sets
 // a timeout.
 const defaultTimeout = 30 * time.Second
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -76,7 +76,7 @@
 			BackendAddress: address(0), CallerAddress: address(1), InboundAddress: address(2), ReadyAddress: address(3), ReportAddress: address(4), FirstPeerPort: p[5], LastPeerPort: p[5],
 			StoreAddress: store.Addr(), ReportInterval: 200 * time.Millisecond,
 			Bounds: platform.Bounds{
-				DrainPeriod: 2 * time.Second, StopGracePeriod: 6 * time.Second, MaxHoldTime: 10 * time.Second,
+				DrainPeriod: 2 * time.Second, StopGracePeriod: 6 * time.Second, MaxHoldTime: 10 * time.Second, ConfigDeadline: 2500 * time.Millisecond,
 				RetryRatio: 0.2, MinRetries: 60, RetryWindow: 10 * time.Second,
 			},
 		}
