--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -87,6 +87,7 @@
 	// *atomic.Int64 by core.Service, and for the configuration under the empty
 	// name.
 	documentFetches sync.Map
+	encodedTables   tableEncoder
 	metrics         *nodeMetrics
 	ready           atomic.Bool
 	stopping        atomic.Bool
@@ -154,7 +155,7 @@
 	n.peerLinks = newPeerLinks(n)
 	n.router = router.New(router.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Origin: s.Service, Clock: n.clock, Log: n.log, Routes: &n.routes,
-		NewerConfig: n.nodes.NewerConfig, FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
+		NewerConfig: n.nodes.NewerConfig, ConfigDeadline: s.Bounds.ConfigDeadline, FleetSnapshot: n.nodes.Snapshot, KeyController: n.keyController, Budget: n.budget, Sender: &n.peerLinks, OnRequestEnd: n.metrics.recordRequest,
 	})
 	return nil
 }
