dispatch: refuse bodies for which the links have no room

Callers of small requests waited, and uploads were late, when the uploads exceeded what all links of a service carry: every upload was sent, shared the link with the others, and most ended late. It was known before they were sent.

The router now refuses a body of 8 KB or more at once if the unread bodies on the chosen link take longer than a quarter of the time to its target, with that time as Retry-After (429).

Evidence: TestFullLinksTakeNoBodies (450 uploads a second, 120% of the links) failed before: the delay of calls was 610 to 671 ms at the 95th percentile, bound 307 ms; it is 233 to 243 ms now, and 10% to 11% of the uploads are refused. TestFullLinkRefusesBodiesAtOnce failed before, since the upload was sent. A signal from the reported delay of reads does not work: it lags, and with 400 uploads a second not one of 8,146 uploads was refused.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -45,6 +45,9 @@
 	DataCentre core.DataCentre
 	// BodyBytes is the length of the body, or core.UnknownLength.
 	BodyBytes int64
+	// TargetLeft is the time until the request should be answered. It is 0 if
+	// there is no such time or it has passed.
+	TargetLeft time.Duration
 	// Tried are the nodes that refused or failed the request.
 	Tried []core.NodeID
 }
@@ -100,13 +103,39 @@
 // its transfer takes 7 ms.
 const largeBodyBytes = 8 << 10
 
+func (r RequestInfo) hasLargeBody() bool { return r.BodyBytes < 0 || r.BodyBytes >= largeBodyBytes }
+
 func sampleSizeFor(req RequestInfo) int {
-	if req.BodyBytes < 0 || req.BodyBytes >= largeBodyBytes {
+	if req.hasLargeBody() {
 		return bodySampleSize
 	}
 	return sampleSize
 }
 
+// A large body is sent if the unread bodies before it pass the link within the
+// time to its target, divided by linkWaitDivisor. The link carries them at the
+// same time and takes further ones, so that the body itself takes two to three
+// times as long.
+const linkWaitDivisor = 4
+
+// LinkWait returns how long the peer's link carries the bodies that are not read
+// yet, and whether the request should be refused because of them: it has a large
+// body, which would be late and delay the small requests of others.
+func LinkWait(p *fleet.Peer, req RequestInfo) (wait time.Duration, refuse bool) {
+	if !req.hasLargeBody() || p.Node == req.Node || p.LinkMbps <= 0 {
+		return 0, false
+	}
+	wait = transferTime(p, p.Load.UnreadBodyBytes())
+	return wait, req.TargetLeft > 0 && wait > req.TargetLeft/linkWaitDivisor
+}
+
+// transferTime returns how long the peer's link takes for that many bytes. Its
+// capacity must be known.
+func transferTime(p *fleet.Peer, bytes int64) time.Duration {
+	const bytesPerMegabit = 1e6 / 8
+	return time.Duration(float64(bytes) / (p.LinkMbps * bytesPerMegabit) * float64(time.Second))
+}
+
 type candidate struct {
 	peer   *fleet.Peer
 	weight float64
@@ -193,10 +222,6 @@
 	if bytes < 0 {
 		bytes = unknownBodyBytes
 	}
-	const bytesPerMegabit = 1e6 / 8
-	transferTime := func(bytes int64) float64 {
-		return float64(bytes) / (p.LinkMbps * bytesPerMegabit) * float64(time.Second)
-	}
 	free := 1 - min(p.Load.LinkShare(), maxLinkShare)
-	return cost + time.Duration(transferTime(bytes)/free+unreadCostFactor*transferTime(p.Load.UnreadBodyBytes()))
+	return cost + time.Duration(float64(transferTime(p, bytes))/free) + unreadCostFactor*transferTime(p, p.Load.UnreadBodyBytes())
 }
--- a/dispatch/link_test.go
+++ b/dispatch/link_test.go
@@ -17,17 +17,18 @@
 // Traffic of the simulation: a service with uploads and small calls on VMs with
 // slow links. 240 uploads a second fill them to 64% if they are spread evenly.
 const (
-	simServers     = 18
-	simSenders     = 76
-	simSlots       = 18
-	simLinkMbps    = 10
-	simCallRate    = 1500
-	simUploadBytes = 60_000
-	simWindowBytes = 16 << 10
-	simUploadWork  = 380 * time.Millisecond
-	simCallWork    = 93 * time.Millisecond
-	simLength      = 20 * time.Second
-	simWarmup      = 5 * time.Second
+	simServers      = 18
+	simSenders      = 76
+	simSlots        = 18
+	simLinkMbps     = 10
+	simCallRate     = 1500
+	simUploadBytes  = 60_000
+	simWindowBytes  = 16 << 10
+	simUploadWork   = 380 * time.Millisecond
+	simCallWork     = 93 * time.Millisecond
+	simUploadTarget = 1500 * time.Millisecond
+	simLength       = 20 * time.Second
+	simWarmup       = 5 * time.Second
 )
 
 var simSpeeds = []float64{0.6, 1, 1.4}
@@ -95,6 +96,9 @@
 	delays  []time.Duration // of calls, before they are read
 	// uploadRate is the number of uploads a second.
 	uploadRate float64
+	// uploads counts the uploads, refused those of them for which no link had
+	// room.
+	uploads, refused int
 }
 
 func newSimFleet(seed uint64, uploadRate float64) *simFleet {
@@ -168,7 +172,16 @@
 	sender := f.rnd.IntN(simSenders)
 	peers := f.views[sender].ByService["s"]
 	own := core.NodeID(fmt.Sprint("n", sender))
-	p := ChoosePeer(now, f.views[sender], RequestInfo{Node: own, Service: "s", DataCentre: core.DataCentre(fmt.Sprint("dc", sender%4)), BodyBytes: body}, f.rnd.Uint64())
+	req := RequestInfo{Node: own, Service: "s", DataCentre: core.DataCentre(fmt.Sprint("dc", sender%4)), BodyBytes: body}
+	if body > 0 {
+		f.uploads++
+		req.TargetLeft = simUploadTarget
+	}
+	p := ChoosePeer(now, f.views[sender], req, f.rnd.Uint64())
+	if _, refuse := LinkWait(p, req); refuse {
+		f.refused++
+		return
+	}
 	index := slices.Index(peers, p)
 	s := f.servers[index]
 	p.Load.InFlight.Add(1)
@@ -239,3 +252,17 @@
 		}
 	}
 }
+
+// Guards against uploads that are sent although the links cannot carry them:
+// small calls then wait for seconds, and most uploads are late themselves.
+func TestFullLinksTakeNoBodies(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newSimFleet(seed, 450)
+		f.run()
+		slices.Sort(f.delays)
+		p95 := f.delays[len(f.delays)*95/100]
+		t.Logf("seed %d: %d of %d uploads refused, delay of calls before they are read p50 %v p95 %v", seed, f.refused, f.uploads, f.delays[len(f.delays)/2], p95)
+		must.Less(t, 400*time.Millisecond-simCallWork, p95, must.Sprint("seed ", seed))
+		must.Less(t, f.uploads/4, f.refused, must.Sprint("seed ", seed))
+	}
+}
--- a/dispatch/repeat.go
+++ b/dispatch/repeat.go
@@ -36,6 +36,8 @@
 	Arrivals, MaxArrivals int
 	// Refusals counts attempts that reached no backend server.
 	Refusals int
+	// LinkFull reports that the chosen peer's link has no room for the body.
+	LinkFull bool
 	// Waited is how long the request has waited for an owner so far, and
 	// MaxWait how long it may.
 	Waited, MaxWait time.Duration
@@ -61,6 +63,11 @@
 	if a.BodyConsumed || a.TimeLeft < minTimeLeft {
 		return ReturnFailure
 	}
+	if a.LinkFull {
+		// The peer was the best of a sample. With more choices, all nodes would
+		// send their bodies to the few links whose reports are out of date.
+		return ReturnFailure
+	}
 	if !a.Err.Code.NotRun() {
 		if a.Idempotent && a.Arrivals < a.MaxArrivals && isRetryable(a.Err.Code) {
 			return Retry
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -157,6 +157,7 @@
 	ownerWaitStart   time.Time
 	waited           time.Duration
 	peer             *fleet.Peer
+	linkFull         bool // the link of peer has no room for the body
 	keyTableRevision uint64
 }
 
@@ -302,7 +303,7 @@
 	}
 	return dispatch.FailedAttempt{
 		Err: e, Keyed: q.keyed, Idempotent: q.req.Idempotent, BodyConsumed: q.bodyConsumed,
-		Arrivals: q.arrivals, MaxArrivals: q.route.MaxAttempts, Refusals: q.refusals,
+		Arrivals: q.arrivals, MaxArrivals: q.route.MaxAttempts, Refusals: q.refusals, LinkFull: q.linkFull,
 		Stopping: q.stopping.Load(), Waited: q.waited, MaxWait: q.route.LatencyTarget / ownerWaitDivisor, TimeLeft: time.Until(q.req.Deadline),
 	}
 }
@@ -372,6 +373,7 @@
 	}
 	info := dispatch.RequestInfo{
 		Node: q.cfg.Node, Service: q.req.Service, DataCentre: q.cfg.DataCentre, BodyBytes: q.req.Length, Tried: q.triedNodes,
+		TargetLeft: max(0, time.Until(q.req.TargetTime)),
 	}
 	now := q.cfg.Clock.Now()
 	p := dispatch.ChoosePeer(now, snapshot, info, rand.Uint64())
@@ -382,10 +384,18 @@
 	if p == nil {
 		return nil, core.Fail(core.CodeNoOwner, "no usable backend server of the service is known")
 	}
+	if wait, refuse := dispatch.LinkWait(p, info); refuse {
+		q.linkFull = true
+		return nil, &core.Error{Code: core.CodeQueueFull, Detail: "the link to the backend server has no room for the body", RetryAfter: min(wait, maxLinkRetryAfter)}
+	}
 	q.req.Instance = p.Instance
 	return p, nil
 }
 
+// maxLinkRetryAfter bounds the Retry-After of a request for whose body no link
+// has room. Bodies of other nodes may end before the time of their transfer.
+const maxLinkRetryAfter = time.Second
+
 // findOwner returns the peer whose backend server owns the key, and sets the
 // expected instance.
 func (q *request) findOwner(snapshot *fleet.Snapshot) (*fleet.Peer, *core.Error) {
--- a/sidecar/router/router_test.go
+++ b/sidecar/router/router_test.go
@@ -202,3 +202,22 @@
 	r.EndRequests()
 	must.Eq(t, core.CodeUnknown, core.CodeOf(<-done))
 }
+
+// Guards against an upload that waits behind other bodies until it is late,
+// instead of being refused at once. Small requests still pass.
+func TestFullLinkRefusesBodiesAtOnce(t *testing.T) {
+	s := &scriptedSender{answers: []*core.Error{nil}}
+	r := newRouter(s, routes.Upload, func(Summary) {})
+	for _, p := range r.cfg.FleetSnapshot().ByService["s"] {
+		p.LinkMbps = 10
+		p.Load.SetUsage(fleet.Usage{UnreadBodyBytes: 500_000}) // 400 ms
+	}
+	_, err := r.Serve(t.Context(), newRequest(strings.Repeat("x", 60_000)))
+	e := core.AsError(err)
+	must.Eq(t, core.CodeQueueFull, e.Code)
+	must.Eq(t, 400*time.Millisecond, e.RetryAfter)
+	must.Len(t, 0, s.nodes)
+	resp, err := r.Serve(t.Context(), newRequest("small"))
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+}
