--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -28,6 +28,9 @@
 	// maxLinkShare bounds the share of a link in use for which the transfer of
 	// a body is estimated, because shares are averages of the last second.
 	maxLinkShare = 0.9
+	// unreadCostFactor is the cost of a peer's unread bodies in terms of the time
+	// of their transfer.
+	unreadCostFactor = 2
 	// unreachableCost is added for a peer that recently could not be reached,
 	// and for one that is stopping.
 	unreachableCost = time.Second
@@ -42,6 +45,9 @@
 	DataCentre core.DataCentre
 	// BodyBytes is the length of the body, or core.UnknownLength.
 	BodyBytes int64
+	// TargetLeft is the time until the request should be answered. It is 0 if
+	// there is no such time or it has passed.
+	TargetLeft time.Duration
 	// Tried are the nodes that refused or failed the request.
 	Tried []core.NodeID
 }
@@ -97,13 +103,39 @@
 // its transfer takes 7 ms.
 const largeBodyBytes = 8 << 10
 
+func (r RequestInfo) hasLargeBody() bool { return r.BodyBytes < 0 || r.BodyBytes >= largeBodyBytes }
+
 func sampleSizeFor(req RequestInfo) int {
-	if req.BodyBytes < 0 || req.BodyBytes >= largeBodyBytes {
+	if req.hasLargeBody() {
 		return bodySampleSize
 	}
 	return sampleSize
 }
 
+// A large body is sent if the unread bodies before it pass the link within the
+// time to its target, divided by linkWaitDivisor. The link carries them at the
+// same time and takes further ones, so that the body itself takes two to three
+// times as long.
+const linkWaitDivisor = 4
+
+// LinkWait returns how long the peer's link carries the bodies that are not read
+// yet, and whether the request should be refused because of them: it has a large
+// body, which would be late and delay the small requests of others.
+func LinkWait(p *fleet.Peer, req RequestInfo) (wait time.Duration, refuse bool) {
+	if !req.hasLargeBody() || p.Node == req.Node || p.LinkMbps <= 0 {
+		return 0, false
+	}
+	wait = transferTime(p, p.Load.UnreadBodyBytes())
+	return wait, req.TargetLeft > 0 && wait > req.TargetLeft/linkWaitDivisor
+}
+
+// transferTime returns how long the peer's link takes for that many bytes. Its
+// capacity must be known.
+func transferTime(p *fleet.Peer, bytes int64) time.Duration {
+	const bytesPerMegabit = 1e6 / 8
+	return time.Duration(float64(bytes) / (p.LinkMbps * bytesPerMegabit) * float64(time.Second))
+}
+
 type candidate struct {
 	peer   *fleet.Peer
 	weight float64
@@ -178,9 +210,9 @@
 }
 
 // linkCost returns the delay before the peer's node reads a request, and the
-// time in which its link carries the body. All that passes the link waits for
-// that body: the square of the free share also counts the delay of the others,
-// so that bodies keep off a link long before it is full.
+// time in which its link carries the body. Unread bodies count twice, once for
+// the requests that wait behind this body and those, so that bodies keep off a
+// link long before it is full.
 func linkCost(p *fleet.Peer, req RequestInfo) time.Duration {
 	cost := p.Load.ReadDelay()
 	if p.LinkMbps <= 0 || req.BodyBytes == 0 {
@@ -190,8 +222,6 @@
 	if bytes < 0 {
 		bytes = unknownBodyBytes
 	}
-	const bytesPerMegabit = 1e6 / 8
-	transfer := float64(bytes) / (p.LinkMbps * bytesPerMegabit) * float64(time.Second)
 	free := 1 - min(p.Load.LinkShare(), maxLinkShare)
-	return cost + time.Duration(transfer/(free*free))
+	return cost + time.Duration(float64(transferTime(p, bytes))/free) + unreadCostFactor*transferTime(p, p.Load.UnreadBodyBytes())
 }
--- a/dispatch/link_test.go
+++ b/dispatch/link_test.go
@@ -15,20 +15,20 @@
 )
 
 // Traffic of the simulation: a service with uploads and small calls on VMs with
-// slow links, which the uploads fill to 64% if they are spread evenly.
+// slow links. 240 uploads a second fill them to 64% if they are spread evenly.
 const (
-	simServers     = 18
-	simSenders     = 76
-	simSlots       = 18
-	simLinkMbps    = 10
-	simUploadRate  = 240 // a second
-	simCallRate    = 1500
-	simUploadBytes = 60_000
-	simWindowBytes = 16 << 10
-	simUploadWork  = 380 * time.Millisecond
-	simCallWork    = 93 * time.Millisecond
-	simLength      = 20 * time.Second
-	simWarmup      = 5 * time.Second
+	simServers      = 18
+	simSenders      = 76
+	simSlots        = 18
+	simLinkMbps     = 10
+	simCallRate     = 1500
+	simUploadBytes  = 60_000
+	simWindowBytes  = 16 << 10
+	simUploadWork   = 380 * time.Millisecond
+	simCallWork     = 93 * time.Millisecond
+	simUploadTarget = 1500 * time.Millisecond
+	simLength       = 20 * time.Second
+	simWarmup       = 5 * time.Second
 )
 
 var simSpeeds = []float64{0.6, 1, 1.4}
@@ -44,10 +44,11 @@
 	mean     time.Duration
 	counters fleet.LinkCounters
 	monitor  *fleet.LinkMonitor
+	unread   int64
 }
 
 func (s *simServer) usage(now clock.Instant) fleet.Usage {
-	u := fleet.Usage{MeanServiceTime: s.mean, LinkShare: s.monitor.LinkShare(), ReadDelay: s.monitor.ReadDelay()}
+	u := fleet.Usage{MeanServiceTime: s.mean, LinkShare: s.monitor.LinkShare(), ReadDelay: s.monitor.ReadDelay(), UnreadBodyBytes: s.unread}
 	for i := range s.starts {
 		switch {
 		case now.Before(s.starts[i]):
@@ -93,10 +94,15 @@
 	servers []*simServer
 	views   []*fleet.Snapshot
 	delays  []time.Duration // of calls, before they are read
+	// uploadRate is the number of uploads a second.
+	uploadRate float64
+	// uploads counts the uploads, refused those of them for which no link had
+	// room.
+	uploads, refused int
 }
 
-func newSimFleet(seed uint64) *simFleet {
-	f := &simFleet{rnd: rand.New(rand.NewPCG(seed, seed))}
+func newSimFleet(seed uint64, uploadRate float64) *simFleet {
+	f := &simFleet{rnd: rand.New(rand.NewPCG(seed, seed)), uploadRate: uploadRate}
 	for i := range simServers {
 		f.servers = append(f.servers, &simServer{
 			speed: simSpeeds[i%len(simSpeeds)], slots: make([]clock.Instant, simSlots), mean: simCallWork,
@@ -133,7 +139,7 @@
 	poisson := func(rate float64) func() time.Duration {
 		return func() time.Duration { return time.Duration(f.rnd.ExpFloat64() / rate * float64(time.Second)) }
 	}
-	f.every(poisson(simUploadRate), func(now clock.Instant) {
+	f.every(poisson(f.uploadRate), func(now clock.Instant) {
 		f.send(now, int64(simUploadBytes*(0.3+0.7*f.rnd.ExpFloat64())), simUploadWork)
 	})
 	f.every(poisson(simCallRate), func(now clock.Instant) { f.send(now, 0, simCallWork) })
@@ -166,7 +172,16 @@
 	sender := f.rnd.IntN(simSenders)
 	peers := f.views[sender].ByService["s"]
 	own := core.NodeID(fmt.Sprint("n", sender))
-	p := ChoosePeer(now, f.views[sender], RequestInfo{Node: own, Service: "s", DataCentre: core.DataCentre(fmt.Sprint("dc", sender%4)), BodyBytes: body}, f.rnd.Uint64())
+	req := RequestInfo{Node: own, Service: "s", DataCentre: core.DataCentre(fmt.Sprint("dc", sender%4)), BodyBytes: body}
+	if body > 0 {
+		f.uploads++
+		req.TargetLeft = simUploadTarget
+	}
+	p := ChoosePeer(now, f.views[sender], req, f.rnd.Uint64())
+	if _, refuse := LinkWait(p, req); refuse {
+		f.refused++
+		return
+	}
 	index := slices.Index(peers, p)
 	s := f.servers[index]
 	p.Load.InFlight.Add(1)
@@ -181,6 +196,7 @@
 	f.at(headRead, func(at clock.Instant) {
 		s.counters.BytesRead += headBytes
 		s.counters.Hops++
+		s.unread += body
 		s.counters.HopDelay += headRead.Sub(now)
 		f.sendBody(at, s, body, func(at clock.Instant) { f.serve(at, s, p, work) })
 	})
@@ -202,6 +218,7 @@
 	window := min(left, simWindowBytes)
 	f.at(s.transfer(now, window), func(at clock.Instant) {
 		s.counters.BytesRead += window
+		s.unread -= window
 		f.sendBody(at, s, left-window, then)
 	})
 }
@@ -224,12 +241,28 @@
 // where small calls then wait longer than their latency target of 400 ms, while
 // other links are half empty.
 func TestUploadsKeepLinksFreeForCalls(t *testing.T) {
+	for _, uploadRate := range []float64{240, 340} {
+		for seed := range uint64(5) {
+			f := newSimFleet(seed, uploadRate)
+			f.run()
+			slices.Sort(f.delays)
+			p99 := f.delays[len(f.delays)*99/100]
+			t.Logf("%v uploads a second, seed %d: %d calls, delay before they are read p50 %v p99 %v", uploadRate, seed, len(f.delays), f.delays[len(f.delays)/2], p99)
+			must.Less(t, 400*time.Millisecond-simCallWork, p99, must.Sprint("seed ", seed))
+		}
+	}
+}
+
+// Guards against uploads that are sent although the links cannot carry them:
+// small calls then wait for seconds, and most uploads are late themselves.
+func TestFullLinksTakeNoBodies(t *testing.T) {
 	for seed := range uint64(5) {
-		f := newSimFleet(seed)
+		f := newSimFleet(seed, 450)
 		f.run()
 		slices.Sort(f.delays)
-		p99 := f.delays[len(f.delays)*99/100]
-		t.Logf("seed %d: %d calls, delay before they are read p50 %v p99 %v", seed, len(f.delays), f.delays[len(f.delays)/2], p99)
-		must.Less(t, 400*time.Millisecond-simCallWork, p99, must.Sprint("seed ", seed))
+		p95 := f.delays[len(f.delays)*95/100]
+		t.Logf("seed %d: %d of %d uploads refused, delay of calls before they are read p50 %v p95 %v", seed, f.refused, f.uploads, f.delays[len(f.delays)/2], p95)
+		must.Less(t, 400*time.Millisecond-simCallWork, p95, must.Sprint("seed ", seed))
+		must.Less(t, f.uploads/4, f.refused, must.Sprint("seed ", seed))
 	}
 }
--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -83,7 +83,7 @@
 
 // countReads returns the number of bytes that c reads from its connections.
 func countReads(c *Client) *atomic.Int64 {
-	read, transport := &atomic.Int64{}, c.http.Transport.(*callTransport).http
+	read, transport := &atomic.Int64{}, c.calls.Transport.(*callTransport).http
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -146,6 +146,12 @@
 	return callPeer[DocumentRequest, DocumentAnswer](ctx, c.documents, address, documentProcedure, r)
 }
 
+// Withdraw withdraws a request that was sent to the node whose peer address is
+// address, host:port. An error leaves the outcome of the request unknown.
+func (c *Client) Withdraw(ctx context.Context, address string, r WithdrawRequest) (WithdrawAnswer, error) {
+	return callPeer[WithdrawRequest, WithdrawAnswer](ctx, c.calls, address, withdrawProcedure, r)
+}
+
 func callPeer[Req, Res any](ctx context.Context, c httpClient, address, procedure string, r Req) (Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -47,9 +47,11 @@
 	hopTiming = "Marjoram-Hop-Timing"
 	// hopLoad holds the node's usage: running and waiting requests of the
 	// backend server, mean service time in microseconds, failed requests per
-	// mille, share of the link in use per mille, and mean delay of requests
-	// before they are read in microseconds.
+	// mille, share of the link in use per mille, mean delay of requests before
+	// they are read in microseconds, and bytes of bodies that are not read yet.
 	hopLoad = "Marjoram-Hop-Load"
+	// hopNumber is the Number of the request's core.SendID.
+	hopNumber = "Marjoram-Hop-Number"
 	// hopSender is the incarnation of the sending process, and hopSentAt the
 	// time of sending on its clock, in nanoseconds. The response echoes
 	// hopSentAt, which no two requests on a connection have in common.
@@ -130,6 +132,15 @@
 func parseHopField(req *core.Request, f core.Field, now time.Time) error {
 	var n int64
 	switch f.Name {
+	case hopSender, hopNumber:
+		// A malformed one reads as 0: the request is served, but cannot be
+		// withdrawn.
+		v, _ := strconv.ParseUint(f.Value, 10, 64)
+		if f.Name == hopSender {
+			req.SendID.Sender = core.Incarnation(v)
+		} else {
+			req.SendID.Number = v
+		}
 	case hopPriority, hopTimeLeft, hopTargetLeft, hopAttempt:
 		v, err := strconv.ParseInt(f.Value, 10, 64)
 		if err != nil {
@@ -211,7 +222,7 @@
 	u := i.LoadSource.Load()
 	return strings.Join([]string{
 		strconv.Itoa(u.Running), strconv.Itoa(u.Waiting), encodeMicros(u.MeanServiceTime), strconv.Itoa(int(perMille * u.FailedShare)),
-		strconv.Itoa(int(perMille * u.LinkShare)), encodeMicros(u.ReadDelay),
+		strconv.Itoa(int(perMille * u.LinkShare)), encodeMicros(u.ReadDelay), strconv.FormatInt(u.UnreadBodyBytes, 10),
 	}, ",")
 }
 
@@ -248,6 +259,9 @@
 	if req.Idempotent {
 		setField(hopIdempotent, "1")
 	}
+	if !req.SendID.IsZero() {
+		setField(hopNumber, strconv.FormatUint(req.SendID.Number, 10))
+	}
 }
 
 // AddSendTimeFields implements gate.Dialect.
@@ -339,7 +353,7 @@
 // decodeLoad decodes the value of hopLoad. It returns nil when it is malformed.
 func decodeLoad(text string) *fleet.Usage {
 	values := strings.Split(text, ",")
-	var numbers [6]int
+	var numbers [7]int
 	if len(values) < oldLoadValues || len(values) > len(numbers) {
 		return nil
 	}
@@ -353,5 +367,6 @@
 	return &fleet.Usage{
 		Running: numbers[0], Waiting: numbers[1], MeanServiceTime: time.Duration(numbers[2]) * time.Microsecond, FailedShare: float64(numbers[3]) / perMille,
 		LinkShare: float64(numbers[4]) / perMille, ReadDelay: time.Duration(numbers[5]) * time.Microsecond,
+		UnreadBodyBytes: int64(numbers[6]),
 	}
 }
