peers: reject an answer to a call that names two calls

An answer that broke off within a field after Marjoramshore-Call-Id, followed by an earlier answer written once more, was read as one: with the ID of the present call, which came first, and the body of the earlier one. A lease that was refused counted as granted.

TestEarlierAnswerBehindBrokenOffHead failed before: a lease of 3 s from the answer to the call before it.

--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -105,6 +105,33 @@
 	}
 }
 
+// Guards against an earlier answer that extends a lease because it follows the
+// start of the present answer, which breaks off within a field.
+func TestEarlierAnswerBehindBrokenOffHead(t *testing.T) {
+	address := startRawPeer(t, func(c net.Conn) {
+		in, earlier := bufio.NewReader(c), ""
+		for {
+			head, ok := readCall(in)
+			if !ok {
+				return
+			}
+			if earlier == "" {
+				earlier = withBody(head, encodeAnswer(t, shards.LeaseAnswer{Term: 5, Coordinator: true, Lease: 3 * time.Second}))
+				_, _ = io.WriteString(c, earlier)
+				continue
+			}
+			_, _ = io.WriteString(c, head+"Date: Fri, 04 De"+earlier)
+			return
+		}
+	})
+	c := NewClient()
+	a, err := c.Report(context.Background(), address, shards.LeaseRequest{})
+	must.NoError(t, err)
+	must.Eq(t, 3*time.Second, a.Lease)
+	a, err = c.Report(context.Background(), address, shards.LeaseRequest{})
+	must.Error(t, err, must.Sprint(a))
+}
+
 // Guards against calls to a node of an earlier version, whose answers do not
 // identify their call, that all fail.
 func TestAnswerWithoutCallID(t *testing.T) {
--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -79,7 +80,9 @@
 	if err != nil {
 		return nil, err
 	}
-	answered := resp.Header.Get(callIDHeader)
+	// An answer that breaks off in its head and is followed by another one has
+	// the IDs of both.
+	answered := strings.Join(resp.Header.Values(callIDHeader), ",")
 	// A node of an earlier version repeats no ID. Its answer can belong to no
 	// other call if the connection has carried none.
 	if answered != id && (answered != "" || reused) {
