sidecar: fail the readiness checks of a stopping node in any case

The goroutine that handles a new configuration reads whether the node stops and then makes it ready. If the stop began in between, the node passed its readiness checks until its end, so that callers kept coming until it refused them. Class: check, then act, on state of another goroutine.

TestStoppingNodeIsNotReady plays that order; before, the last check got 200.

--- a/sidecar/http.go
+++ b/sidecar/http.go
@@ -71,7 +71,9 @@
 // serveReady answers the platform's readiness checks, which decide whether
 // callers send requests to this node.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request, _ []byte) {
-	if !n.ready.Load() {
+	// A new configuration may set ready at the moment at which the node begins to
+	// stop.
+	if !n.ready.Load() || n.stopping.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
