sidecar: refuse waiting requests of other nodes at the end of a stop

A stop answers its callers' requests at its end, but the requests of other nodes that waited for a slot were cut off with the process. The other node then cannot tell whether they ran: a request that may run once ended with 502, although no backend server had seen it. Class: a deadline that ends a wait without ending the work.

The duty that owns the queue now closes and empties it at that moment. The refusal lets the other node try another backend server.

TestStopRefusesRequestsThatWaitForASlot fails without the call of EndWaits: deadline-passed after 2 s instead of draining.

--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -56,6 +56,9 @@
 // cancellation reports that a request no longer waits for a slot.
 type cancellation struct{ request *slotRequest }
 
+// waitsEnd reports that the node stops and waits no longer.
+type waitsEnd struct{}
+
 // reportCall is a status report of the backend server.
 type reportCall struct {
 	report platform.StatusReport
@@ -197,6 +200,9 @@
 	}
 }
 
+// EndWaits refuses the requests that wait for a slot, because the node stops.
+func (p *Proxy) EndWaits() { p.pushEvent(waitsEnd{}) }
+
 // completeRequest frees the slot of a request and records whether the backend
 // server failed it.
 func (p *Proxy) completeRequest(ctx context.Context, slot *slotRequest, resp *core.Response, err error) {
@@ -257,6 +263,11 @@
 
 func (m cancellation) apply(st *state) { st.admitAll(st.queue.Cancel(st.now(), &m.request.ticket)) }
 
+func (waitsEnd) apply(st *state) {
+	st.queue.SetOpen(false)
+	st.refuseAll(st.queue.Flush(), core.CodeDraining, "the node of the backend server stops")
+}
+
 func (m completion) apply(st *state) {
 	st.admitAll(st.queue.Done(st.now(), &m.request.ticket, m.err == nil))
 	startedLate := m.err != nil && m.err.Code == core.CodeDeadline && m.request.ticket.RunTime(st.now()) < hungFactor*st.queue.Stats().MeanServiceTime
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -77,13 +77,16 @@
 }
 
 // endRequests answers the callers' requests that are still in flight at the end
-// of a stop.
+// of a stop, and the requests of other nodes that wait for a slot.
 func (n *Node) endRequests() {
 	n.router.EndRequests()
+	n.backend.EndWaits()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
-	if err := n.outbound.Shutdown(ctx); err != nil {
-		n.log.WithError(err).WithField("running", n.outbound.Stats().InFlight).Warn("requests at the end of the stop not answered in time")
+	for _, f := range []*frontend.Frontend{n.outbound, n.inbound} {
+		if err := f.Shutdown(ctx); err != nil {
+			n.log.WithError(err).WithField("running", f.Stats().InFlight).Warn("requests at the end of the stop not answered in time")
+		}
 	}
 }
 
