shards: record a grant in one pass

A report of the backend server renews all rows of its run. The rows of a grant are sorted and disjoint, so one pass over the recorded rows finds the parts that the grant does not cover. Sizes of numbers are counted without formatting them, and the rows held are compared in place.

TestGrantsKeepUncoveredParts compares what is recorded with a list of single keys.

--- a/shards/grant_test.go
+++ b/shards/grant_test.go
@@ -1,6 +1,8 @@
 package shards
 
 import (
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -64,3 +66,64 @@
 	}
 	must.Eq(t, 0, m.HandleReport(testStart.Add(4*time.Second), BackendReport{Holder: h, Ready: true, Slots: 4}).HoldTime)
 }
+
+// Guards against a renewal whose cost grows with the square of the rows. It took
+// most of the memory that a node allocated when idle.
+func TestRenewalAllocatesLittle(t *testing.T) {
+	m, h := newLeasedMember(120)
+	report := BackendReport{Holder: h, Ready: true, Slots: 4}
+	report.Holds = m.HandleReport(testStart, report).Rows
+	must.Len(t, 120, report.Holds)
+	// One slice for each of the four steps of a report, and the growth of one.
+	must.LessEq(t, 20, int(testing.AllocsPerRun(10, func() { m.HandleReport(testStart, report) })))
+}
+
+// Guards against parts of earlier grants that are forgotten although the run may
+// still hold them, and against keys that are recorded twice.
+func TestGrantsKeepUncoveredParts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	type record struct {
+		fence  int64
+		latest bool
+	}
+	for range 200 {
+		m := NewMember("s", "n", 1, 10*time.Second)
+		want := map[int]record{}
+		for fence := range int64(6) {
+			var rows []Row
+			for from := random.IntN(8); from < 100; {
+				to := from + random.IntN(12)
+				rows = append(rows, Row{Span: Span{from, to}, Fence: fence})
+				from = to + 1 + random.IntN(12)
+			}
+			for k, r := range want {
+				want[k] = record{r.fence, false}
+			}
+			for _, r := range rows {
+				for k := r.From; k <= r.To; k++ {
+					want[k] = record{fence, true}
+				}
+			}
+			m.recordGrant(rows, testStart)
+			got := map[int]record{}
+			for _, g := range m.granted {
+				for k := g.From; k <= g.To; k++ {
+					_, twice := got[k]
+					must.False(t, twice, must.Sprintf("key %d is recorded twice", k))
+					got[k] = record{g.Fence, g.inLastGrant}
+				}
+			}
+			must.True(t, maps.Equal(want, got), must.Sprint(want, got))
+		}
+	}
+}
+
+func BenchmarkRenewal(b *testing.B) {
+	m, h := newLeasedMember(120)
+	report := BackendReport{Holder: h, Ready: true, Slots: 4}
+	report.Holds = m.HandleReport(testStart, report).Rows
+	b.ReportAllocs()
+	for b.Loop() {
+		m.HandleReport(testStart, report)
+	}
+}
--- a/shards/member.go
+++ b/shards/member.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"marjoramshore.example/clock"
@@ -243,12 +242,7 @@
 	}
 	rows := selectFitting(m.grantableRows(), holds)
 	until := now.Add(time.Duration(float64(hold) * (1 + maxClockLag)))
-	for i := range m.granted {
-		m.granted[i].inLastGrant = false
-	}
-	for _, r := range rows {
-		m.recordGrant(r, until)
-	}
+	m.recordGrant(rows, until)
 	return Grant{Rows: rows, HoldTime: hold}
 }
 
@@ -266,7 +260,17 @@
 	return rowOverheadBytes + countDigits(int64(r.From)) + countDigits(int64(r.To)) + countDigits(r.Fence) + len(r.Handover)
 }
 
-func countDigits(n int64) int { return len(strconv.FormatInt(n, 10)) }
+// countDigits returns the length of n in decimal, with its sign.
+func countDigits(n int64) int {
+	count := 1
+	if n < 0 {
+		count++
+	}
+	for n /= 10; n != 0; n /= 10 {
+		count++
+	}
+	return count
+}
 
 // selectFitting returns the rows that fit into one answer. Rows that the run
 // already holds come first. The others are granted after a later report, when
@@ -274,15 +278,18 @@
 func selectFitting(rows, held []Row) []Row {
 	bytesLeft := maxGrantBytes
 	out := make([]Row, 0, len(rows))
+	others := make([]Row, 0, len(rows))
 	for _, r := range rows {
-		if isHeld(r, held) {
-			r.Handover = "" // the run has taken it
-			bytesLeft -= encodedSize(r)
-			out = append(out, r)
+		if !isHeld(&r, held) {
+			others = append(others, r)
+			continue
 		}
+		r.Handover = "" // the run has taken it
+		bytesLeft -= encodedSize(r)
+		out = append(out, r)
 	}
-	for _, r := range rows {
-		if bytes := encodedSize(r); !isHeld(r, held) && bytes <= bytesLeft {
+	for _, r := range others {
+		if bytes := encodedSize(r); bytes <= bytesLeft {
 			bytesLeft -= bytes
 			out = append(out, r)
 		}
@@ -316,24 +323,46 @@
 	return out
 }
 
-// recordGrant records a granted row. Parts of earlier grants that it does not
-// cover stay recorded, because the run may still hold them.
-func (m *Member) recordGrant(r Row, until clock.Instant) {
-	kept := m.granted[:0:0]
+// recordGrant records the rows of a grant, which are sorted and do not overlap.
+// Parts of earlier grants that they do not cover stay recorded, because the run
+// may still hold them.
+func (m *Member) recordGrant(rows []Row, until clock.Instant) {
+	next := make([]grantedRow, 0, max(len(m.granted), len(rows)))
 	for _, g := range m.granted {
-		if !g.Overlaps(r.Span) {
-			kept = append(kept, g)
-			continue
+		g.inLastGrant = false
+		next = appendUncovered(next, g, rows)
+	}
+	for _, r := range rows {
+		next = append(next, grantedRow{Row: r, holdEnd: until, inLastGrant: true})
+	}
+	m.granted = next
+}
+
+// appendUncovered appends the parts of g that none of the rows covers. The rows
+// are sorted and do not overlap.
+func appendUncovered(out []grantedRow, g grantedRow, rows []Row) []grantedRow {
+	first, _ := slices.BinarySearchFunc(rows, g.From, func(r Row, from int) int { return r.To - from })
+	for _, r := range rows[first:] {
+		if r.From > g.To {
+			break
+		}
+		if g.From < r.From {
+			left := g
+			left.To = r.From - 1
+			out = append(out, left)
 		}
-		kept = append(kept, g.subtract(Span{max(g.From, r.From), min(g.To, r.To)})...)
+		g.From = r.To + 1
 	}
-	m.granted = append(kept, grantedRow{Row: r, holdEnd: until, inLastGrant: true})
+	if g.From <= g.To {
+		out = append(out, g)
+	}
+	return out
 }
 
 // isHeld reports whether one held row covers r under the same fence.
-func isHeld(r Row, held []Row) bool {
-	for _, h := range held {
-		if h.From <= r.From && r.To <= h.To && h.Fence == r.Fence {
+func isHeld(r *Row, held []Row) bool {
+	for i := range held {
+		if h := &held[i]; h.From <= r.From && r.To <= h.To && h.Fence == r.Fence {
 			return true
 		}
 	}
@@ -343,7 +372,7 @@
 // UsableRows returns the rows on which the run may begin requests, and the end
 // of its hold.
 func (m *Member) UsableRows() ([]Row, clock.Instant) {
-	var rows []Row
+	rows := make([]Row, 0, len(m.granted))
 	var until clock.Instant
 	for _, g := range m.granted {
 		if g.inLastGrant {
