peers: compress no small answers

connect-go compresses each answer to a client that accepts gzip, and its clients do. A compressor takes 814 kB, and those kept in a pool are lost at each second garbage collection; an answer with a lease has about 150 bytes and is due several times a second for each member. Answers from 1 KiB on, such as key tables, are compressed as before.

TestSmallAnswersAreNotCompressed fails without the change.

--- a/peers/calls.go
+++ b/peers/calls.go
@@ -70,6 +70,10 @@
 // Unmarshal implements connect.Codec.
 func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
 
+// minCompressedBytes is the size from which answers are compressed. A compressor
+// takes 800 KB, and most answers are leases of 150 bytes.
+const minCompressedBytes = 1 << 10
+
 // NewMux returns an HTTP handler that passes the calls to h.
 func NewMux(h Handler) http.Handler {
 	mux := http.NewServeMux()
@@ -88,7 +92,7 @@
 		func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
 			res := answer(ctx, *r.Msg)
 			return connect.NewResponse(&res), nil
-		}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes)))
+		}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressedBytes)))
 }
 
 // NewServer returns an HTTP server that passes the calls to h.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -165,6 +165,25 @@
 	must.Error(t, err)
 }
 
+// Guards against a compressor for each lease. It takes 800 KB, and each member
+// asks for a lease several times a second.
+func TestSmallAnswersAreNotCompressed(t *testing.T) {
+	post := func(procedure, body string) *http.Response {
+		r := httptest.NewRequest("POST", procedure, strings.NewReader(body))
+		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set("Accept-Encoding", "gzip")
+		w := httptest.NewRecorder()
+		NewMux(testHandler{}).ServeHTTP(w, r)
+		return w.Result()
+	}
+	small := post(reportProcedure, `{"Service":"s"}`)
+	must.Eq(t, 200, small.StatusCode)
+	must.Eq(t, "", small.Header.Get("Content-Encoding"))
+	large := post(documentProcedure, `{"Kind":"`+strings.Repeat("k", 2*minCompressedBytes)+`"}`)
+	must.Eq(t, 200, large.StatusCode)
+	must.Eq(t, "gzip", large.Header.Get("Content-Encoding"))
+}
+
 // Guards against a beacon of usual content that exceeds one packet or loses a
 // field.
 func TestBeaconRoundTrip(t *testing.T) {
