shards: test that the keys of a first member are shared

Without the division of wide rows no other member gets a key: the test then fails with "n1 got no keys".

--- a/shards/alone_test.go
+++ b/shards/alone_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"marjoramshore.example/core"
 )
 
 // setUp starts or ends the nodes with their backend servers, so that only those
@@ -53,3 +54,27 @@
 		must.Eq(t, s.samples, s.heldSamples, must.Sprint("seed ", seed, ": keys are moved on"))
 	}
 }
+
+// Guards against keys that are not shared when one member is ready earlier than
+// the others at the first start and gets all keys.
+func TestKeysOfFirstMemberAreShared(t *testing.T) {
+	for seed := range uint64(2) {
+		s := newSim(t, seed, 5)
+		s.healthy = true
+		s.setUp(0)
+		for range 400 {
+			s.step()
+		}
+		must.Eq(t, map[core.NodeID]int{"n0": KeyCount}, keysByNode(s.store.record))
+		s.setUp(0, 1, 2, 3, 4)
+		for range 1500 {
+			s.step()
+		}
+		keys := keysByNode(s.store.record)
+		for _, x := range s.nodes {
+			must.Positive(t, keys[x.id], must.Sprint("seed ", seed, ": ", x.id, " got no keys: ", keys))
+		}
+		_, ok := s.runUntilAllHeld(time.Second)
+		must.True(t, ok, must.Sprint("seed ", seed, ": not all keys are held 15 s after the other members came"))
+	}
+}
