node: log what the nodes know when a lost node's key is not served

TestKeysOfLostNodeServedAgain failed once, with -race -count=5 at load 45 on 8 cores: the key was not served again within 30 s. The test said neither what the caller was answered nor what the nodes knew, so it is not traced.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -113,8 +113,9 @@
 			}
 			now, s := n.clock.Now(), n.Lease()
 			_, code := s.Check(now, core.HashKey(key))
-			f.t.Logf("%s: key %s code=%v ranges=%d moving=%d lease=%v reason=%q in_flight=%d",
-				n.self.Node, key, code, len(s.OwnRanges), len(s.MovingRanges), s.LeaseEnd.Sub(now), s.Reason, f.backends[i].Stats().InFlight)
+			f.t.Logf("%s: key %s code=%v ranges=%d moving=%d lease=%v reason=%q term=%d coordinator=%s authority=%v successors=%v in_flight=%d",
+				n.self.Node, key, code, len(s.OwnRanges), len(s.MovingRanges), s.LeaseEnd.Sub(now), s.Reason,
+				s.Term, s.Coordinator.Node, s.AuthorityEnd.Sub(now), s.Successors, f.backends[i].Stats().InFlight)
 		}
 	})
 }
@@ -185,8 +186,10 @@
 			key = candidate
 		}
 	}
+	f.logOnFailure(key)
 	entrance := f.nodes[0]
 	start := time.Now()
+	t.Logf("lost node: %s", lost.self.Node)
 	lost.Kill()
 	for i := range f.nodes {
 		if f.nodes[i] == lost {
@@ -194,8 +197,11 @@
 			f.nodes[i] = nil
 		}
 	}
+	var last string
+	t.Cleanup(func() { t.Logf("last answer: %s", last) })
 	f.waitFor(30*time.Second, "the key is served again", func() bool {
 		resp, err := f.send(t.Context(), entrance, http.MethodGet, "/short/price", key, "Marjoram-Deadline-Ms", "300")
+		last = fmt.Sprintf("%+v, error %v", resp, err)
 		return err == nil && resp.outcome == "answered"
 	})
 	t.Logf("served again after %v", time.Since(start).Round(time.Millisecond))
