--- a/shards/alone_test.go
+++ b/shards/alone_test.go
@@ -78,3 +78,24 @@
 		must.True(t, ok, must.Sprint("seed ", seed, ": not all keys are held 15 s after the other members came"))
 	}
 }
+
+// Guards against two runs that hold the same key while a wide row is divided
+// under overlapping faults.
+func TestNoTwoHoldersOfDividedRows(t *testing.T) {
+	for seed := range uint64(3) {
+		s := newSim(t, seed, 5)
+		for range 3 {
+			s.setUp(int(s.rnd.IntN(len(s.nodes))))
+			for range 600 {
+				s.step()
+			}
+			s.setUp(0, 1, 2, 3, 4)
+			for range 800 {
+				s.step()
+				if s.rnd.IntN(150) == 0 {
+					s.injectFault()
+				}
+			}
+		}
+	}
+}
