--- a/shards/alone_test.go
+++ b/shards/alone_test.go
@@ -13,12 +13,16 @@
 // with the given indexes run.
 func (s *sim) setUp(indexes ...int) {
 	for i, x := range s.nodes {
-		up := slices.Contains(indexes, i)
-		if up && !x.up {
+		if !slices.Contains(indexes, i) {
+			x.up, x.server.up = false, false
+			continue
+		}
+		if !x.up {
 			x.start()
+		}
+		if !x.server.up {
 			x.startServer()
 		}
-		x.up, x.server.up = up, up
 	}
 }
 
