soak: replace the backend server of a VM by one step at a time

The pointer to the server was also read while it was written.

Steps now take turns at replacing a VM's backend server, the pointer is atomic, and ending a server twice does nothing, so that a run whose server did not start again ends with its error.

--- a/soak/steps.go
+++ b/soak/steps.go
@@ -64,7 +64,7 @@
 		r.publishConfig()
 		r.runAfter(configApplyTime, r.newConfigCheck(r.elapsed(), r.configVersion))
 	case Leave:
-		v.server.Leave()
+		v.server.Load().Leave()
 		r.runAfter(drainTime+reportInterval, func() { r.restartServer(v) })
 	case Kill:
 		v.signal(syscall.SIGKILL)
@@ -124,7 +124,7 @@
 // injectServerFault makes the backend server of a VM fail in the way that the
 // step's variant selects.
 func (r *run) injectServerFault(v *vm, s Step) {
-	server := v.server
+	server := v.server.Load()
 	server.SetFault(s.serverFault())
 	r.runAfter(s.Duration, func() { server.SetFault(keyed.NoFault) })
 }
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -58,8 +58,12 @@
 	// nodes reach each other without them.
 	inboundLink, peerLink *link
 	beacons               *beaconRelay
-	server                *keyed.Server
-	serverStarts          int // number of instances so far
+	// server is the latest backend server; restartServer replaces it.
+	server       atomic.Pointer[keyed.Server]
+	serverStarts int // number of instances so far
+	// serverTurn holds a token while the backend server is replaced, because the
+	// ends of two steps may coincide.
+	serverTurn chan struct{}
 
 	// process is the latest process of the node; supervise replaces it.
 	process  atomic.Pointer[os.Process]
@@ -80,7 +84,7 @@
 // newVM writes the settings of a node and starts its links, its process and its
 // backend server.
 func newVM(r *run, index int, service string) (*vm, error) {
-	v := &vm{run: r, name: fmt.Sprintf("node-%d", index), service: service, ip: loopbackIP(0, r.opts.FirstAddress+index), proxyIP: loopbackIP(1, r.opts.FirstAddress+index)}
+	v := &vm{run: r, serverTurn: make(chan struct{}, 1), name: fmt.Sprintf("node-%d", index), service: service, ip: loopbackIP(0, r.opts.FirstAddress+index), proxyIP: loopbackIP(1, r.opts.FirstAddress+index)}
 	v.settingsFile = filepath.Join(r.opts.Dir, v.name+".conf")
 	dataCentre := string(rune('a' + index%3))
 	settings := wire.VM{Node: v.name, DataCentre: dataCentre, IP: v.ip, Service: service, Store: v.proxyIP}.EncodeSettings(settingsBounds)
@@ -124,14 +128,16 @@
 	if err != nil {
 		return wrapError("start a backend server", err)
 	}
-	v.server = server
+	v.server.Store(server)
 	return nil
 }
 
 // restartServer ends the backend server at once and starts its next instance.
 func (v *vm) restartServer() error {
+	v.serverTurn <- struct{}{}
+	defer func() { <-v.serverTurn }()
 	name := fmt.Sprintf("%s-%d", v.name, v.serverStarts)
-	v.server.Crash()
+	v.server.Load().Crash()
 	v.run.record(ServerExit{name})
 	return v.startServer()
 }
@@ -184,7 +190,7 @@
 	timer := time.AfterFunc(gracePeriod, func() { v.signal(syscall.SIGKILL) })
 	v.supervisor.Wait()
 	timer.Stop()
-	v.server.Crash()
+	v.server.Load().Crash()
 	v.storeLink.close()
 	if v.inboundLink != nil {
 		v.inboundLink.close()
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -128,6 +128,7 @@
 	runCounts map[string]int
 
 	stop    chan struct{}
+	crashed sync.Once
 	stopped sync.WaitGroup
 	seq     int
 	running atomic.Int64
@@ -156,9 +157,10 @@
 	return s, nil
 }
 
-// Crash closes the listener and all connections without telling the node.
+// Crash closes the listener and all connections without telling the node. Later
+// calls do nothing.
 func (s *Server) Crash() {
-	close(s.stop)
+	s.crashed.Do(func() { close(s.stop) })
 	_ = s.http.Close()
 	s.stopped.Wait()
 }
