--- a/sidecar/watch/slowlink_test.go
+++ b/sidecar/watch/slowlink_test.go
@@ -34,7 +34,7 @@
 
 // startWatcher starts a watcher of an object that is behind a link, and waits
 // until it has the first version.
-func startWatcher(t *testing.T, bitsPerSecond int) (*objects.Store, *slowlink.Link, received) {
+func startWatcher(t *testing.T, bitsPerSecond int) (*objects.Store, received) {
 	store, err := objects.New()
 	must.NoError(t, err)
 	t.Cleanup(store.Close)
@@ -51,7 +51,7 @@
 	t.Cleanup(cancel)
 	go w.Run(ctx)
 	must.Eq(t, 0, <-r)
-	return store, link, r
+	return store, r
 }
 
 // waitFor returns how long it takes until a version arrives.
@@ -80,7 +80,7 @@
 		bandwidth = 10_000_000
 		bound     = 1500 * time.Millisecond
 	)
-	store, _, versionsRead := startWatcher(t, bandwidth)
+	store, versionsRead := startWatcher(t, bandwidth)
 	for version := 1; version <= versions; version++ {
 		time.Sleep(interval)
 		store.Put(platform.ConfigKind, platform.ConfigName, configOf(version))
--- a/standin/slowlink/slowlink.go
+++ b/standin/slowlink/slowlink.go
@@ -55,16 +55,6 @@
 	l.goroutines.Wait()
 }
 
-// Occupy uses the bandwidth towards the clients for other bytes, n of them.
-// It returns when they have passed.
-func (l *Link) Occupy(n int) {
-	for ; n > 0; n -= chunkBytes {
-		if l.down.WaitN(l.ctx, min(n, chunkBytes)) != nil {
-			return // the link is closed
-		}
-	}
-}
-
 func (l *Link) accept() {
 	for {
 		client, err := l.listener.Accept()
