--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -20,10 +20,10 @@
 	// callTimeout bounds a call; members report every 400 ms.
 	callTimeout = 700 * time.Millisecond
 	// documentTimeout bounds a call for a document, and documentDialTimeout its
-	// connection. Packets wait up to 2.4 s at a link that uploads fill; shorter
+	// connection. Packets wait up to 3.4 s at a link that uploads fill; shorter
 	// attempts would all fail there, and each begins from nothing.
-	documentTimeout     = 4 * time.Second
-	documentDialTimeout = 2500 * time.Millisecond
+	documentTimeout     = 6 * time.Second
+	documentDialTimeout = 4 * time.Second
 	// maxMessageBytes bounds a message; a thousand rows take 100 KB.
 	maxMessageBytes = 2 << 20
 	// maxBodyBytes bounds a body. It is one more than a message has, because
