--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -54,6 +54,7 @@
 			}
 			return 0
 		},
+		"config_behind_ms":      n.configBehind,
 		"backend_answers_stray": n.backend.StrayAnswers,
 		"peer_answers_stray":    n.peerLinks.strayAnswers,
 		"nodes_known":           func() int64 { return int64(len(n.nodes.Snapshot().Nodes)) },
@@ -80,6 +81,16 @@
 	return nil
 }
 
+// configBehind returns for how many milliseconds the node has known that it lacks
+// a configuration, or 0.
+func (n *Node) configBehind() int64 {
+	newer, table := n.nodes.NewerConfig(), n.routes.Load()
+	if newer == nil || table != nil && newer.Version <= table.Version {
+		return 0
+	}
+	return n.clock.Now().Sub(newer.Since).Milliseconds()
+}
+
 func newUptimeGauge() func() int64 {
 	start := time.Now()
 	return func() int64 { return int64(time.Since(start).Seconds()) }
