--- a/sidecar/router/newer_test.go
+++ b/sidecar/router/newer_test.go
@@ -15,7 +15,7 @@
 // Guards against a node that answers 404 on a route of a configuration that it
 // knows to lack, or runs a request on a route that this one has removed or
 // changed, and against refusals where both are the same. Nodes with full links
-// had a new configuration after up to 13.7 s although they heard of it at once.
+// had a new configuration after up to 11.7 s although they heard of it at once.
 func TestNodeDoesNotDecideByOldConfiguration(t *testing.T) {
 	const deadline = 2500 * time.Millisecond
 	grace := oldRouteGrace(deadline)
