sidecar: encode and decode a key table once

After each change of a key assignment all nodes ask its coordinator for the table, which was encoded anew for each of them: 355 us and 1.2 MB for the compressor alone. The table now keeps its encoded form from the first call on. A node also decoded each table of each listing, every 5 s, although the controller ignores one that is no newer; such a table is not decoded any more.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -11,7 +11,6 @@
 	"marjoramshore.example/peers"
 	"marjoramshore.example/platform"
 	"marjoramshore.example/shards"
-	"marjoramshore.example/shards/record"
 	"marjoramshore.example/sidecar/configs"
 	"marjoramshore.example/sidecar/nodes"
 )
@@ -59,7 +58,7 @@
 		return peers.DocumentAnswer{}
 	}
 	t := c.Table()
-	spec, err := record.Encode(t.Assignment)
+	spec, err := t.Encoded()
 	if err != nil {
 		h.node.log.WithError(err).Error("encoding a key table for another node failed")
 		return peers.DocumentAnswer{}
--- a/sidecar/keys/duty.go
+++ b/sidecar/keys/duty.go
@@ -151,7 +151,7 @@
 		s.lastReport = 0 // report to the new coordinator at once
 	}
 	s.record, s.revision, s.recordAbsent = &a, revision, false
-	s.table.Store(&Table{a, revision})
+	s.table.Store(newTable(a, revision))
 	s.reportInterval = min(max(minReportInterval, time.Duration(a.CountHolders())*reportIntervalPerMember), maxReportInterval)
 	s.publishStatus()
 }
--- a/sidecar/keys/keys.go
+++ b/sidecar/keys/keys.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"marjoramshore.example/peers"
 	"marjoramshore.example/ring"
 	"marjoramshore.example/shards"
+	"marjoramshore.example/shards/record"
 )
 
 // Intervals and bounds of a controller.
@@ -95,6 +97,13 @@
 type Table struct {
 	shards.Assignment
 	Revision uint64
+	// Encoded returns the encoded assignment, which must not be changed. It is
+	// encoded at the first call.
+	Encoded func() ([]byte, error)
+}
+
+func newTable(a shards.Assignment, revision uint64) *Table {
+	return &Table{a, revision, sync.OnceValues(func() ([]byte, error) { return record.Encode(a) })}
 }
 
 // UsableRows are the rows for which the backend server may begin requests.
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -195,6 +195,9 @@
 // applyTable passes a key assignment on to the key controller of its service, or
 // keeps it until that is started.
 func (n *Node) applyTable(service core.Service, o platform.Object) {
+	if c := n.keyController(service); c != nil && c.Status().Revision >= o.Revision {
+		return // each listing and several other nodes may deliver the same table
+	}
 	a, err := record.Decode(o.Spec)
 	if err != nil {
 		n.log.WithError(err).WithFields(log.Fields{"service": service, "revision": o.Revision}).Error("decoding the key assignment of a service failed")
