peers: decode the entry of a sender's beacons once

Each node of a fleet receives two beacons a second from each other node. Three quarters of a beacon are the entry of its sender, which changes with its backend server only. The socket keeps the encoded entry of each sender and decodes the rest of a beacon that begins with the same bytes. Addresses to send to are parsed without the resolver, which makes a list. The format of beacons is unchanged.

TestBeaconsOfOneSender guards against an entry that is taken from an earlier beacon.

--- a/peers/beacon.go
+++ b/peers/beacon.go
@@ -1,8 +1,10 @@
 package peers
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"strconv"
 
 	"github.com/rotisserie/eris"
@@ -33,8 +35,24 @@
 	return "exceeds " + strconv.Itoa(maxBeaconBytes) + " bytes"
 }
 
-// BeaconSocket sends and receives beacons on one UDP socket.
-type BeaconSocket struct{ conn *net.UDPConn }
+// BeaconSocket sends and receives beacons on one UDP socket. Only one goroutine
+// may receive.
+type BeaconSocket struct {
+	conn *net.UDPConn
+	// entries holds the entry of the last beacon of each sender, which seldom
+	// changes.
+	entries map[netip.AddrPort]encodedEntry
+}
+
+// encodedEntry is an entry and the first part of the beacons that hold it, up to
+// the end of the entry.
+type encodedEntry struct {
+	prefix string
+	entry  fleet.Entry
+}
+
+// maxEncodedEntries bounds the senders whose entries are kept.
+const maxEncodedEntries = 4096
 
 // ListenBeacons opens a socket bound to address, host:port.
 func ListenBeacons(address string) (*BeaconSocket, error) {
@@ -46,7 +64,7 @@
 	if err != nil {
 		return nil, &BeaconError{"listen", eris.Wrap(err, address)}
 	}
-	return &BeaconSocket{conn: conn}, nil
+	return &BeaconSocket{conn: conn, entries: map[netip.AddrPort]encodedEntry{}}, nil
 }
 
 // EncodeBeacon returns the datagram for a beacon.
@@ -63,11 +81,15 @@
 
 // Send sends an encoded beacon to the node at address, host:port.
 func (s *BeaconSocket) Send(data []byte, address string) error {
-	udpAddr, err := net.ResolveUDPAddr("udp4", address)
+	to, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return &BeaconError{"resolve address", eris.Wrap(err, address)}
+		udpAddr, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			return &BeaconError{"resolve address", eris.Wrap(err, address)}
+		}
+		to = udpAddr.AddrPort()
 	}
-	if _, err := s.conn.WriteToUDP(data, udpAddr); err != nil {
+	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
 		return &BeaconError{"send", eris.Wrap(err, address)}
 	}
 	return nil
@@ -77,7 +99,7 @@
 // is not a beacon gives a *BeaconError with Op "decode", after which the socket
 // can still be used; after any other error it cannot.
 func (s *BeaconSocket) Receive(buf []byte) (fleet.Beacon, error) {
-	n, _, err := s.conn.ReadFromUDP(buf)
+	n, from, err := s.conn.ReadFromUDPAddrPort(buf)
 	if err != nil {
 		return fleet.Beacon{}, &BeaconError{"receive", eris.Wrap(err, "read")}
 	}
@@ -85,13 +107,52 @@
 		// The rest of the datagram is lost.
 		return fleet.Beacon{}, &BeaconError{"decode", &BeaconTooLargeError{}}
 	}
-	var beacon fleet.Beacon
-	if err := json.Unmarshal(buf[:n], &beacon); err != nil {
+	beacon, err := s.decode(from, buf[:n])
+	if err != nil {
 		return fleet.Beacon{}, &BeaconError{"decode", eris.Wrap(err, "json")}
 	}
 	return beacon, nil
 }
 
+// entryStart begins each beacon that EncodeBeacon returns.
+const entryStart = `{"e":`
+
+// decode decodes a beacon. Of one that begins like the last one of its sender,
+// only the part after the entry is decoded. The data is changed.
+func (s *BeaconSocket) decode(from netip.AddrPort, data []byte) (fleet.Beacon, error) {
+	var beacon fleet.Beacon
+	known := s.entries[from]
+	if n := len(known.prefix); n > 0 && len(data) > n && data[n] == ',' && string(data[:n]) == known.prefix {
+		beacon.Entry = known.entry
+		rest := data[n:]
+		rest[0] = '{'
+		err := json.Unmarshal(rest, &beacon)
+		return beacon, err
+	}
+	if err := json.Unmarshal(data, &beacon); err != nil {
+		return beacon, err
+	}
+	s.keepEntry(from, data, beacon.Entry)
+	return beacon, nil
+}
+
+// keepEntry keeps the entry with which a valid beacon begins, if it does.
+func (s *BeaconSocket) keepEntry(from netip.AddrPort, data []byte, entry fleet.Entry) {
+	after, ok := bytes.CutPrefix(data, []byte(entryStart))
+	if !ok {
+		return
+	}
+	var first fleet.Entry
+	d := json.NewDecoder(bytes.NewReader(after))
+	if d.Decode(&first) != nil || first != entry {
+		return // the entry is given once more later
+	}
+	if len(s.entries) >= maxEncodedEntries {
+		clear(s.entries)
+	}
+	s.entries[from] = encodedEntry{string(data[:len(entryStart)+int(d.InputOffset())]), entry}
+}
+
 // NewBeaconBuffer returns a buffer for BeaconSocket.Receive. It has room for one
 // byte more than a beacon, to detect larger datagrams.
 func NewBeaconBuffer() []byte { return make([]byte, maxBeaconBytes+1) }
