--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -79,7 +79,8 @@
 	linkMeter     core.ByteMeter // bytes between this node and others
 	linkUsage     atomic.Pointer[linkUsage]
 	controllers   atomic.Pointer[map[core.Service]*keys.Controller]
-	pendingTables sync.Map // pendingTable by core.Service
+	tracked       atomic.Pointer[map[core.Service]nodes.KeyController] // controllers, as the tracker uses them
+	pendingTables sync.Map                                             // pendingTable by core.Service
 	metrics       *nodeMetrics
 	ready         atomic.Bool
 	stopping      atomic.Bool
@@ -119,6 +120,7 @@
 	n.delays = peers.NewDelayEstimator(n.clock)
 	n.linkUsage.Store(&linkUsage{})
 	n.controllers.Store(&map[core.Service]*keys.Controller{})
+	n.tracked.Store(&map[core.Service]nodes.KeyController{})
 	if n.beacons, err = peers.ListenBeacons(net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort))); err != nil {
 		return nil, err
 	}
@@ -318,7 +320,12 @@
 		n.runLoop(controller.Run)
 		n.log.WithField("service", s.Name).Info("key controller of a sharded service started")
 	}
+	tracked := make(map[core.Service]nodes.KeyController, len(next))
+	for s, c := range next {
+		tracked[s] = c
+	}
 	n.controllers.Store(&next)
+	n.tracked.Store(&tracked)
 	for s, controller := range next {
 		if pending, ok := n.pendingTables.LoadAndDelete(s); ok {
 			t := pending.(pendingTable)
@@ -330,14 +337,9 @@
 // keyController returns the key controller of a service, or nil.
 func (n *Node) keyController(s core.Service) *keys.Controller { return (*n.controllers.Load())[s] }
 
-func (n *Node) keyControllers() map[core.Service]nodes.KeyController {
-	controllers := *n.controllers.Load()
-	out := make(map[core.Service]nodes.KeyController, len(controllers))
-	for s, c := range controllers {
-		out[s] = c
-	}
-	return out
-}
+// keyControllers returns the key controllers of all services. The map must not be
+// changed.
+func (n *Node) keyControllers() map[core.Service]nodes.KeyController { return *n.tracked.Load() }
 
 // publishRun announces the state of the backend server's run to the other nodes.
 func (n *Node) publishRun(r backend.Run) {
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -54,7 +54,8 @@
 	Socket Socket
 	// LocalStatus returns this node's status for a beacon.
 	LocalStatus func() Status
-	// KeyControllers returns the key controller of each sharded service.
+	// KeyControllers returns the key controller of each sharded service, in a map
+	// that is not changed later.
 	KeyControllers func() map[core.Service]KeyController
 	// OnTick is called at each tick with the number of nodes.
 	OnTick func(now clock.Instant, nodes int)
