core: tell hop-by-hop fields by a switch

Each field of each request and response is looked up six times on the way through two nodes; the lookups in a map were 2% of the processor time of a loaded fleet.

--- a/core/fields.go
+++ b/core/fields.go
@@ -5,14 +5,16 @@
 	"strings"
 )
 
-// hopByHopFields holds the canonical names of the fields that apply to a single
-// connection (RFC 9110, section 7.6.1), and of those that the encoder of the
-// next hop derives from the message.
-var hopByHopFields = map[string]bool{
-	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true,
-	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Expect": true, "Content-Length": true,
+// isHopByHop reports whether a field with the given canonical name applies to a
+// single connection (RFC 9110, section 7.6.1), or is derived from the message by
+// the encoder of the next hop.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te",
+		"Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length":
+		return true
+	}
+	return false
 }
 
 // StripHopByHopFields returns the end-to-end fields, with canonical names: all
@@ -22,7 +24,7 @@
 	out := make([]Field, 0, len(fields))
 	for _, f := range fields {
 		f.Name = textproto.CanonicalMIMEHeaderKey(f.Name)
-		if !hopByHopFields[f.Name] && !options[f.Name] {
+		if !isHopByHop(f.Name) && !options[f.Name] {
 			out = append(out, f)
 		}
 	}
