--- a/fleet/newer.go
+++ b/fleet/newer.go
@@ -21,12 +21,18 @@
 // FindNewerConfig returns a live node whose configuration is newer than
 // version, or false.
 func (v *View) FindNewerConfig(version uint64) (Entry, bool) {
+	if v.newestConfig <= version {
+		return Entry{}, false
+	}
 	return v.findNode(func(n *nodeState) bool { return n.configVersion > version })
 }
 
 // FindNewerTable returns a live node whose key table of a service is newer than
 // version, or false.
 func (v *View) FindNewerTable(service core.Service, version uint64) (Entry, bool) {
+	if v.newestTables[service] <= version {
+		return Entry{}, false
+	}
 	return v.findNode(func(n *nodeState) bool { return n.tableVersions[service] > version })
 }
 
@@ -51,8 +57,12 @@
 
 // NewestConfig returns the newest configuration that two other live nodes have,
 // or the only one if there is one other live node. A single node of many cannot
-// make the others believe that they lack a configuration.
-func (v *View) NewestConfig() AnnouncedConfig {
+// make the others believe that they lack a configuration. The result may be empty
+// if no node was ever heard to have a newer one than inForce.
+func (v *View) NewestConfig(inForce uint64) AnnouncedConfig {
+	if v.newestConfig <= inForce {
+		return AnnouncedConfig{}
+	}
 	var versions [2]*nodeState // the nodes with the highest and the second highest version
 	for id, n := range v.nodes {
 		switch {
--- a/fleet/newer_test.go
+++ b/fleet/newer_test.go
@@ -13,25 +13,25 @@
 // its own is old.
 func TestNewestConfigIsThatOfTwoNodes(t *testing.T) {
 	v := NewView("me")
-	must.Eq(t, 0, v.NewestConfig().Version)
+	must.Eq(t, 0, v.NewestConfig(0).Version)
 	announce := func(at clock.Instant, node string, version uint64, digest ...byte) {
 		v.ApplyBeacon(at, Beacon{Entry: newEntry(node, 1, 10, 1), ConfigVersion: version, ConfigDigest: digest})
 	}
 	announce(start, "a", 5, 1)
-	must.Eq(t, AnnouncedConfig{5, []byte{1}}, v.NewestConfig())
+	must.Eq(t, AnnouncedConfig{5, []byte{1}}, v.NewestConfig(0))
 	announce(start, "b", 3, 3)
 	announce(start, "c", 2)
-	must.Eq(t, AnnouncedConfig{3, []byte{3}}, v.NewestConfig())
+	must.Eq(t, AnnouncedConfig{3, []byte{3}}, v.NewestConfig(0))
 	announce(start, "c", 5)
-	must.Eq(t, AnnouncedConfig{5, []byte{1}}, v.NewestConfig())
+	must.Eq(t, AnnouncedConfig{5, []byte{1}}, v.NewestConfig(0))
 	// Later beacons of the same version leave out the digest.
 	announce(start, "a", 5)
-	must.Eq(t, AnnouncedConfig{5, []byte{1}}, v.NewestConfig())
+	must.Eq(t, AnnouncedConfig{5, []byte{1}}, v.NewestConfig(0))
 	announce(start, "a", 6)
 	announce(start, "c", 6)
-	must.Eq(t, AnnouncedConfig{6, nil}, v.NewestConfig())
+	must.Eq(t, AnnouncedConfig{6, nil}, v.NewestConfig(0))
 	v.UpdateLiveness(start.Add(lostAfter))
-	must.Eq(t, 0, v.NewestConfig().Version)
+	must.Eq(t, 0, v.NewestConfig(0).Version)
 }
 
 // Guards against a lag that seems to begin anew with each version while a node
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -295,7 +295,7 @@
 // nodes have a newer version.
 func (s *state) requestNewerDocuments(now clock.Instant) {
 	local := s.cfg.LocalStatus()
-	s.newer.Store(s.lag.Update(now, local.ConfigVersion, s.view.NewestConfig()))
+	s.newer.Store(s.lag.Update(now, local.ConfigVersion, s.view.NewestConfig(local.ConfigVersion)))
 	e, ok := s.view.FindNewerConfig(local.ConfigVersion)
 	s.requestNewer(now, NewerDocument{Address: e.PeerAddress}, ok)
 	for service, version := range local.TableVersions {
@@ -327,6 +327,7 @@
 // updateKeyControllers tells each key controller what the view shows about its
 // coordinator.
 func (s *state) updateKeyControllers(now clock.Instant) {
+	heardShare := s.view.HeardShare(now)
 	for service, c := range s.cfg.KeyControllers() {
 		status := c.Status()
 		silent, ended := s.view.SilentFor(now, status.Coordinator, status.Incarnation)
@@ -334,7 +335,7 @@
 			Coordinator: status.Coordinator, Incarnation: status.Incarnation, Stopping: s.self.Stopping,
 			ElectionInput: shards.ElectionInput{
 				SilentFor: silent, CoordinatorEnded: ended, UnconfirmedFor: s.view.UnconfirmedFor(status.Coordinator, service),
-				Rank: s.view.CoordinatorRank(service), HeardShare: s.view.HeardShare(now),
+				Rank: s.view.CoordinatorRank(service), HeardShare: heardShare,
 			},
 		}
 		if e, ok := s.view.Entry(status.Coordinator); ok {
