dispatch: assume a busy link where none is reported

A link that is not reported now counts with the capacity of the own one and the use of the busiest reported one of the service.

TestUnreportedLinkHasOwnCapacity covers a service of which no node reports its link.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -67,8 +67,12 @@
 	}
 	var best *fleet.Peer
 	var lowestCost time.Duration
+	var assumed linkState
+	if req.BodyBytes != 0 {
+		assumed = assumeLink(snapshot, req)
+	}
 	compare := func(p *fleet.Peer) {
-		if c := estimateCost(now, p, req); best == nil || c < lowestCost {
+		if c := estimateCost(now, p, req, assumed); best == nil || c < lowestCost {
 			best, lowestCost = p, c
 		}
 	}
@@ -125,15 +129,51 @@
 	if !req.hasLargeBody() || p.Node == req.Node || p.LinkMbps <= 0 {
 		return 0, false
 	}
-	wait = transferTime(p, p.Load.UnreadBodyBytes())
+	wait = transferTime(p.LinkMbps, p.Load.UnreadBodyBytes())
 	return wait, req.TargetLeft > 0 && wait > req.TargetLeft/linkWaitDivisor
 }
 
-// transferTime returns how long the peer's link takes for that many bytes. Its
-// capacity must be known.
-func transferTime(p *fleet.Peer, bytes int64) time.Duration {
+// transferTime returns how long a link takes for that many bytes. Its capacity
+// must be known.
+func transferTime(mbps float64, bytes int64) time.Duration {
 	const bytesPerMegabit = 1e6 / 8
-	return time.Duration(float64(bytes) / (p.LinkMbps * bytesPerMegabit) * float64(time.Second))
+	return time.Duration(float64(bytes) / (mbps * bytesPerMegabit) * float64(time.Second))
+}
+
+// linkState is what is known or assumed of a peer's link.
+type linkState struct {
+	mbps   float64
+	share  float64 // in use
+	unread int64   // bytes of bodies
+}
+
+// assumeLink returns the state that is assumed of links that are not reported:
+// the capacity of the own link, or of the widest reported one if that is not
+// known, and the use of the busiest reported one of the service. Nodes of
+// versions that report no link would otherwise look idle and get all bodies. A
+// mean use does not suffice, since no report shows when such a link is full.
+func assumeLink(snapshot *fleet.Snapshot, req RequestInfo) linkState {
+	var assumed linkState
+	for _, p := range snapshot.ByService[req.Service] {
+		if p.Usable() && p.LinkMbps > 0 {
+			assumed.mbps = max(assumed.mbps, p.LinkMbps)
+			assumed.share = max(assumed.share, p.Load.LinkShare())
+			assumed.unread = max(assumed.unread, p.Load.UnreadBodyBytes())
+		}
+	}
+	if own := snapshot.Nodes[req.Node]; own != nil && own.LinkMbps > 0 {
+		assumed.mbps = own.LinkMbps
+	}
+	return assumed
+}
+
+// linkOf returns the state of a peer's link, and the assumed one if the peer
+// does not report its own.
+func linkOf(p *fleet.Peer, assumed linkState) linkState {
+	if p.LinkMbps <= 0 {
+		return assumed
+	}
+	return linkState{p.LinkMbps, p.Load.LinkShare(), p.Load.UnreadBodyBytes()}
 }
 
 type candidate struct {
@@ -183,7 +223,7 @@
 // estimateCost estimates the time until a peer answers, and adds the costs of
 // distance, failures and unreachability. A partly busy backend server costs
 // more than an idle one, because its report is some time old.
-func estimateCost(now clock.Instant, p *fleet.Peer, req RequestInfo) time.Duration {
+func estimateCost(now clock.Instant, p *fleet.Peer, req RequestInfo, assumed linkState) time.Duration {
 	running, waiting := p.Load.RequestCounts()
 	busy := max(running+waiting, p.Load.InFlight.Load())
 	slots := float64(max(1, p.Slots))
@@ -197,7 +237,7 @@
 		cost += min(crossDataCentreCost+time.Duration(max(0, req.BodyBytes)/1024)*crossDataCentreCostPerKB, maxCrossDataCentreCost)
 	}
 	if p.Node != req.Node {
-		cost += linkCost(p, req)
+		cost += linkCost(p, req, assumed)
 	}
 	cost += time.Duration(float64(failureCost) * p.Load.FailedShare())
 	if p.Load.RecentlyUnreachable(now) {
@@ -213,15 +253,16 @@
 // time in which its link carries the body. Unread bodies count twice, once for
 // the requests that wait behind this body and those, so that bodies keep off a
 // link long before it is full.
-func linkCost(p *fleet.Peer, req RequestInfo) time.Duration {
+func linkCost(p *fleet.Peer, req RequestInfo, assumed linkState) time.Duration {
 	cost := p.Load.ReadDelay()
-	if p.LinkMbps <= 0 || req.BodyBytes == 0 {
+	link := linkOf(p, assumed)
+	if link.mbps <= 0 || req.BodyBytes == 0 {
 		return cost
 	}
 	bytes := req.BodyBytes
 	if bytes < 0 {
 		bytes = unknownBodyBytes
 	}
-	free := 1 - min(p.Load.LinkShare(), maxLinkShare)
-	return cost + time.Duration(float64(transferTime(p, bytes))/free) + unreadCostFactor*transferTime(p, p.Load.UnreadBodyBytes())
+	free := 1 - min(link.share, maxLinkShare)
+	return cost + time.Duration(float64(transferTime(link.mbps, bytes))/free) + unreadCostFactor*transferTime(link.mbps, link.unread)
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -171,3 +171,18 @@
 		}
 	}
 }
+
+// Guards against a link without a report that counts as one that takes a body in
+// no time, if no other node of the service reports its link either.
+func TestUnreportedLinkHasOwnCapacity(t *testing.T) {
+	silent := newPeer("silent", "dc0")
+	silent.LinkMbps = 0
+	snapshot := &fleet.Snapshot{
+		Nodes:     map[core.NodeID]*fleet.Peer{"own": {Entry: fleet.Entry{Node: "own", LinkMbps: 8}}},
+		ByService: map[core.Service][]*fleet.Peer{"s": {silent}},
+	}
+	req := RequestInfo{Node: "own", Service: "s", BodyBytes: 50_000}
+	must.Eq(t, 50*time.Millisecond, linkCost(silent, req, assumeLink(snapshot, req)))
+	req.BodyBytes = 0
+	must.Eq(t, 0, linkCost(silent, req, assumeLink(snapshot, req)))
+}
--- a/dispatch/link_test.go
+++ b/dispatch/link_test.go
@@ -96,6 +96,9 @@
 	delays  []time.Duration // of calls, before they are read
 	// uploadRate is the number of uploads a second.
 	uploadRate float64
+	// silentLinks counts the servers, from the last one, whose nodes report
+	// nothing about their links.
+	silentLinks int
 	// uploads counts the uploads, refused those of them for which no link had
 	// room.
 	uploads, refused int
@@ -125,6 +128,31 @@
 	heap.Push(&f.events, simEvent{t, do})
 }
 
+// reportsLink reports whether the node beside a server reports its link.
+func (f *simFleet) reportsLink(server int) bool { return server < len(f.servers)-f.silentLinks }
+
+// silenceLinks makes the nodes beside the last n servers report nothing about
+// their links, as earlier versions do.
+func (f *simFleet) silenceLinks(n int) {
+	f.silentLinks = n
+	for _, v := range f.views {
+		for i, p := range v.ByService["s"] {
+			if !f.reportsLink(i) {
+				p.LinkMbps = 0
+			}
+		}
+	}
+}
+
+// report returns what the node beside a server reports of its usage.
+func (f *simFleet) report(now clock.Instant, server int) fleet.Usage {
+	u := f.servers[server].usage(now)
+	if !f.reportsLink(server) {
+		u.LinkShare, u.ReadDelay, u.UnreadBodyBytes = 0, 0, 0
+	}
+	return u
+}
+
 // every calls do at each interval until the end.
 func (f *simFleet) every(interval func() time.Duration, do func(now clock.Instant)) {
 	var tick func(now clock.Instant)
@@ -149,8 +177,8 @@
 		}
 	})
 	f.every(func() time.Duration { return 500 * time.Millisecond }, func(now clock.Instant) {
-		for i, s := range f.servers {
-			u := s.usage(now)
+		for i := range f.servers {
+			u := f.report(now, i)
 			for _, v := range f.views {
 				v.ByService["s"][i].Load.SetUsage(u)
 			}
@@ -186,7 +214,7 @@
 	s := f.servers[index]
 	p.Load.InFlight.Add(1)
 	if p.Node == own {
-		f.serve(now, s, p, work)
+		f.serve(now, index, p, work)
 		return
 	}
 	headRead := s.transfer(now, headBytes)
@@ -198,7 +226,7 @@
 		s.counters.Hops++
 		s.unread += body
 		s.counters.HopDelay += headRead.Sub(now)
-		f.sendBody(at, s, body, func(at clock.Instant) { f.serve(at, s, p, work) })
+		f.sendBody(at, s, body, func(at clock.Instant) { f.serve(at, index, p, work) })
 	})
 }
 
@@ -223,7 +251,8 @@
 	})
 }
 
-func (f *simFleet) serve(now clock.Instant, s *simServer, p *fleet.Peer, work time.Duration) {
+func (f *simFleet) serve(now clock.Instant, index int, p *fleet.Peer, work time.Duration) {
+	s := f.servers[index]
 	took := time.Duration(float64(work) / s.speed * (0.5 + f.rnd.Float64()))
 	slot := slices.Index(s.slots, slices.Min(s.slots))
 	begins := max(now, s.slots[slot])
@@ -233,7 +262,7 @@
 	f.at(ends, func(now clock.Instant) {
 		s.mean += (took - s.mean) / 20
 		p.Load.InFlight.Add(-1)
-		p.Load.SetUsage(s.usage(now))
+		p.Load.SetUsage(f.report(now, index))
 	})
 }
 
@@ -253,6 +282,22 @@
 	}
 }
 
+// Guards against uploads that all go to the nodes which report nothing about
+// their links, as nodes of earlier versions during an upgrade.
+func TestUnreportedLinksDoNotAttractUploads(t *testing.T) {
+	for _, silent := range []int{2, simServers / 2} {
+		for seed := range uint64(2) {
+			f := newSimFleet(seed, 240)
+			f.silenceLinks(silent)
+			f.run()
+			slices.Sort(f.delays)
+			p99 := f.delays[len(f.delays)*99/100]
+			t.Logf("%d silent, seed %d: delay of calls before they are read p50 %v p99 %v", silent, seed, f.delays[len(f.delays)/2], p99)
+			must.Less(t, 400*time.Millisecond-simCallWork, p99, must.Sprint(silent, " silent, seed ", seed))
+		}
+	}
+}
+
 // Guards against uploads that are sent although the links cannot carry them:
 // small calls then wait for seconds, and most uploads are late themselves.
 func TestFullLinksTakeNoBodies(t *testing.T) {
