sidecar: test the wait for an owner through the router

TestOwnerWaitCountsSlowAttempts repeated the loop of sendUntilDone, and so passed without the call of startOwnerWait in it. It now serves a request with a key that a table assigns to another node.

--- a/sidecar/router/router_test.go
+++ b/sidecar/router/router_test.go
@@ -16,6 +16,7 @@
 	"marjoramshore.example/dispatch"
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/routes"
+	"marjoramshore.example/shards"
 	"marjoramshore.example/sidecar/keys"
 )
 
@@ -27,14 +28,18 @@
 	nodes   []core.NodeID
 }
 
-// slowOwnerSender takes a while to say that the key has another owner.
-type slowOwnerSender struct{ attempts int }
+// slowSender takes a while to refuse an attempt.
+type slowSender struct {
+	code     core.Code
+	delay    time.Duration
+	attempts int
+}
 
 // Send implements Sender.
-func (s *slowOwnerSender) Send(context.Context, *fleet.Peer, *core.Request) (*core.Response, error) {
+func (s *slowSender) Send(context.Context, *fleet.Peer, *core.Request) (*core.Response, error) {
 	s.attempts++
-	time.Sleep(100 * time.Millisecond)
-	return nil, failure(core.CodeNotOwner)
+	time.Sleep(s.delay)
+	return nil, failure(s.code)
 }
 
 // hungSender answers when the context ends.
@@ -171,23 +176,48 @@
 	must.Positive(t, e.RetryAfter)
 }
 
+// newKeyedRouter returns a router like newRouter for which node a holds all keys
+// of the service.
+func newKeyedRouter(t *testing.T, s Sender) *Router {
+	r := newRouter(s, routes.Idempotent, func(Summary) {})
+	table := *r.cfg.Routes.Load()
+	r.cfg.Routes = &routes.CurrentTable{}
+	route, found := table.Match("h", "/")
+	must.True(t, found)
+	r.cfg.Routes.ReplaceIfNewer(routes.Compile(routes.Config{Version: 2, Services: []routes.Service{{Name: "s", Sharded: true}}, Routes: []routes.Route{route.Route}}))
+	peers := r.cfg.FleetSnapshot().ByService["s"]
+	snapshot := &fleet.Snapshot{Nodes: map[core.NodeID]*fleet.Peer{"a": peers[0]}}
+	r.cfg.FleetSnapshot = func() *fleet.Snapshot { return snapshot }
+	controller := keys.New(keys.Config{Service: "s", Node: "x", Clock: r.cfg.Clock, Log: r.cfg.Log})
+	holder := shards.Holder{Node: "a", Instance: "i", Born: 1}
+	rows := []shards.Row{{Span: shards.Span{From: 0, To: shards.KeyCount - 1}, Holder: holder, Fence: 1}}
+	controller.ObserveRecord(shards.Assignment{Service: "s", Term: 1, Rows: rows}, 1, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	done := make(chan struct{})
+	go func() {
+		controller.Run(ctx)
+		close(done)
+	}()
+	for controller.Table() == nil && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	must.NotNil(t, controller.Table())
+	r.cfg.KeyController = func(core.Service) *keys.Controller { return controller }
+	return r
+}
+
 // Guards against a request that is held for seconds while it looks for the owner
 // of its key, because only the pauses between slow attempts count.
 func TestOwnerWaitCountsSlowAttempts(t *testing.T) {
-	s := &slowOwnerSender{}
-	r := newRouter(s, routes.Idempotent, func(Summary) {})
-	q := &request{Router: r, req: newRequest(""), started: time.Now()}
-	must.Nil(t, q.matchRoute())
-	q.keyed = true
-	for waiting := true; waiting; {
-		_, err := s.Send(t.Context(), nil, nil)
-		waiting = dispatch.DecideNext(q.recordFailure(core.AsError(err))) == dispatch.WaitForOwner
-		if waiting {
-			q.startOwnerWait()
-			must.True(t, q.waitForOwner(t.Context()))
-		}
-	}
-	must.LessEq(t, 3, s.attempts, must.Sprint("the target of 400 ms allows a wait of 100 ms"))
+	s := &slowSender{code: core.CodeNotOwner, delay: 100 * time.Millisecond}
+	r := newKeyedRouter(t, s)
+	req := newRequest("")
+	req.Key = "7"
+	_, err := r.Serve(t.Context(), req)
+	must.Eq(t, core.CodeNotOwner, core.CodeOf(err))
+	must.Between(t, 2, s.attempts, 3, must.Sprint("the target of 400 ms allows a wait of 100 ms"))
 }
 
 // Guards against a stop that cuts off requests without an answer.
