sidecar: bound the time that refusals of a request take

A request without a key was sent to up to four nodes that refused it, whatever time they took. The wait for an owner was bounded in time, these attempts in number only.

A request now goes on only within half of its latency target, counted from its first attempt. If a node cannot be reached, it goes on up to the target: this says nothing about the load of the others, and connecting to a lost VM takes 300 ms.

TestTimeOfRefusalsIsBounded covers the limits.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -52,6 +52,28 @@
 	must.Eq(t, TryOtherBackend, DecideNext(a))
 }
 
+// Guards against refusals that are bounded in number only, and against a request
+// that is refused although only one node could not be reached.
+func TestTimeOfRefusalsIsBounded(t *testing.T) {
+	const target = 400 * time.Millisecond
+	for _, tc := range []struct {
+		code   core.Code
+		waited time.Duration
+		want   Decision
+	}{
+		{core.CodeQueueFull, 190 * time.Millisecond, TryOtherBackend},
+		{core.CodeQueueFull, 200 * time.Millisecond, ReturnFailure},
+		{core.CodePeerUnreachable, 310 * time.Millisecond, TryOtherBackend},
+		{core.CodePeerUnreachable, 400 * time.Millisecond, ReturnFailure},
+	} {
+		a := newFailedAttempt(tc.code)
+		a.Waited, a.MaxWait = tc.waited, MaxWait(target, false, tc.code)
+		must.Eq(t, tc.want, DecideNext(a), must.Sprint(tc))
+	}
+	must.Eq(t, 100*time.Millisecond, MaxWait(target, true, core.CodeNotOwner))
+	must.Less(t, MaxWait(0, false, core.CodeQueueFull), time.Hour)
+}
+
 // Guards against retries of all nodes that together exceed the bound of a
 // window.
 func TestRetryBudgetOfAllNodes(t *testing.T) {
--- a/dispatch/repeat.go
+++ b/dispatch/repeat.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"marjoramshore.example/core"
@@ -38,8 +39,8 @@
 	Refusals int
 	// LinkFull reports that the chosen peer's link has no room for the body.
 	LinkFull bool
-	// Waited is how long the request has waited for an owner so far, and
-	// MaxWait how long it may.
+	// Waited is how long the request has waited for an owner so far, or, without
+	// a key, the time since its first attempt began. MaxWait is how long it may.
 	Waited, MaxWait time.Duration
 	// Stopping is set while the node stops. The request then gains nothing by
 	// waiting here: its caller finds another node.
@@ -56,8 +57,31 @@
 	// minTimeLeft is the time to the deadline below which another attempt
 	// cannot succeed.
 	minTimeLeft = 30 * time.Millisecond
+	// ownerWaitDivisor and refusalDivisor give the share of the latency target
+	// that a request may spend on attempts which reach no backend server. Then
+	// the caller is refused and tries again later, which serves it sooner than a
+	// longer wait that ends in a refusal.
+	ownerWaitDivisor = 4
+	refusalDivisor   = 2
 )
 
+// MaxWait returns how long a request may go on after attempts that reached no
+// backend server, the last of which failed with code. A request without a key
+// tries other nodes up to its target if one is unreachable, since that says
+// nothing about the load of the others. Without a target, the deadline alone
+// bounds its attempts.
+func MaxWait(target time.Duration, keyed bool, code core.Code) time.Duration {
+	switch {
+	case keyed:
+		return target / ownerWaitDivisor
+	case target == 0:
+		return math.MaxInt64
+	case code == core.CodePeerUnreachable:
+		return target
+	}
+	return target / refusalDivisor
+}
+
 // DecideNext decides what follows a failed attempt.
 func DecideNext(a FailedAttempt) Decision {
 	if a.BodyConsumed || a.TimeLeft < minTimeLeft {
@@ -85,7 +109,7 @@
 		return ReturnFailure
 	case a.Keyed && isTransient(a.Err.Code) && !a.Stopping && a.Waited < a.MaxWait:
 		return WaitForOwner
-	case !a.Keyed && a.Refusals < maxRefusals:
+	case !a.Keyed && a.Refusals < maxRefusals && a.Waited < a.MaxWait:
 		return TryOtherBackend
 	}
 	return ReturnFailure
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -31,10 +31,6 @@
 	// ownerPollInterval is the time between lookups of a key's owner while a
 	// request waits for one.
 	ownerPollInterval = 40 * time.Millisecond
-	// A request may wait for the owner of its key for its target latency divided
-	// by ownerWaitDivisor. Then the caller is refused and tries again later,
-	// which serves it sooner than a longer wait that ends in a refusal.
-	ownerWaitDivisor = 4
 	// noConfigRetryAfter is the Retry-After for callers that come before the
 	// node has a configuration.
 	noConfigRetryAfter = 300 * time.Millisecond
@@ -158,6 +154,8 @@
 	// mayHaveRun is set once an attempt failed with an unknown outcome.
 	mayHaveRun bool
 	attempts   int
+	// sendingSince is when the first attempt began.
+	sendingSince time.Time
 	// ownerWaitStart is when an attempt first found no owner, or zero. waited
 	// counts from there, the time of later attempts included.
 	ownerWaitStart   time.Time
@@ -283,6 +281,7 @@
 	if err := q.bufferBody(ctx); err != nil {
 		return nil, err
 	}
+	q.sendingSince = time.Now()
 	for {
 		resp, err := q.sendOnce(ctx)
 		if err == nil {
@@ -337,10 +336,14 @@
 	if !q.ownerWaitStart.IsZero() {
 		q.waited = time.Since(q.ownerWaitStart)
 	}
+	waited := q.waited
+	if !q.keyed {
+		waited = time.Since(q.sendingSince)
+	}
 	return dispatch.FailedAttempt{
 		Err: e, Keyed: q.keyed, Idempotent: q.req.Idempotent, BodyConsumed: q.bodyConsumed,
 		Arrivals: q.arrivals, MaxArrivals: q.route.MaxAttempts, Refusals: q.refusals, LinkFull: q.linkFull,
-		Stopping: q.stopping.Load(), Waited: q.waited, MaxWait: q.route.LatencyTarget / ownerWaitDivisor, TimeLeft: time.Until(q.req.Deadline),
+		Stopping: q.stopping.Load(), Waited: waited, MaxWait: dispatch.MaxWait(q.route.LatencyTarget, q.keyed, e.Code), TimeLeft: time.Until(q.req.Deadline),
 	}
 }
 
--- a/sidecar/router/router_test.go
+++ b/sidecar/router/router_test.go
@@ -220,6 +220,18 @@
 	must.Between(t, 2, s.attempts, 3, must.Sprint("the target of 400 ms allows a wait of 100 ms"))
 }
 
+// Guards against a request without a key that is held until its target by nodes
+// which take long to refuse it, because only the number of refusals is bounded.
+// Its caller comes back sooner after an early refusal.
+func TestSlowRefusalsEndEarly(t *testing.T) {
+	s := &slowSender{code: core.CodeQueueFull, delay: 220 * time.Millisecond}
+	_, err := newRouter(s, routes.Idempotent, func(Summary) {}).Serve(t.Context(), newRequest(""))
+	e := core.AsError(err)
+	must.Eq(t, core.CodeQueueFull, e.Code)
+	must.Positive(t, e.RetryAfter)
+	must.Eq(t, 1, s.attempts, must.Sprint("the target of 400 ms allows 200 ms of refusals"))
+}
+
 // Guards against a stop that cuts off requests without an answer.
 func TestStopAnswersRequestsInFlight(t *testing.T) {
 	s := hungSender{make(chan struct{})}
