peers: withdraw requests whose connection to another node failed

Callers got 502 for requests that are not idempotent and that no backend server had received, when the connection between two nodes was reset: the request waited in the other node's queue, its body was still being read, or it had not been read. After 502 a caller cannot try such a request again.

The node that sent such a request now asks the process that it was sent to, in a call, not to pass it to its backend server. That process gives the answer on the goroutine that admits requests: either the request was admitted to a slot, and its outcome stays unknown, or it is refused from then on, also if it arrives later. Another process at the same address has another incarnation and confirms nothing. A withdrawn request is tried again like a refused one, at once or by its caller. Requests that may run twice are sent again as before.

Each request carries the number of its sending between nodes. Nodes of an earlier build refuse the call, which leaves the outcome unknown as before.

TestWithdrawnRequestNeverRuns and TestSendRecordsOutliveTheWithdrawWindow guard the promise.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -85,6 +85,9 @@
 	// request that entered here.
 	ReceivedAt time.Time
 	ReadDelay  time.Duration
+	// SendID identifies the sending of the request from one node to another. It
+	// is zero if the request entered here and was not sent on, or may run twice.
+	SendID SendID
 	// SendMark names the sending of the request by another node, which expects it
 	// in the response, or is empty.
 	SendMark string
@@ -99,6 +102,17 @@
 	Body io.ReadCloser
 }
 
+// SendID identifies one sending of a request to another node.
+type SendID struct {
+	// Sender is the process that sent it.
+	Sender Incarnation
+	// Number is unique to the sending within that process, and not 0.
+	Number uint64
+}
+
+// IsZero reports whether nothing is identified.
+func (s SendID) IsZero() bool { return s.Sender == 0 || s.Number == 0 }
+
 // Hash returns the hash of the request's key.
 func (r *Request) Hash() Hash { return HashKey(r.Key) }
 
--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -108,6 +108,12 @@
 	return callPeer[DocumentRequest, DocumentAnswer](ctx, c, address, documentProcedure, r)
 }
 
+// Withdraw withdraws a request that was sent to the node whose peer address is
+// address, host:port. An error leaves the outcome of the request unknown.
+func (c *Client) Withdraw(ctx context.Context, address string, r WithdrawRequest) (WithdrawAnswer, error) {
+	return callPeer[WithdrawRequest, WithdrawAnswer](ctx, c, address, withdrawProcedure, r)
+}
+
 func callPeer[Req, Res any](ctx context.Context, c *Client, address, procedure string, r Req) (Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/peers/calls.go
+++ b/peers/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"marjoramshore.example/core"
@@ -27,6 +28,7 @@
 	reportProcedure   = "/marjoramshore.peers.v1.Peers/Report"
 	stepDownProcedure = "/marjoramshore.peers.v1.Peers/StepDown"
 	documentProcedure = "/marjoramshore.peers.v1.Peers/Document"
+	withdrawProcedure = "/marjoramshore.peers.v1.Peers/Withdraw"
 )
 
 // StepDownRequest tells the coordinator of a service that another node replaced
@@ -51,11 +53,29 @@
 	Spec     json.RawMessage
 }
 
+// WithdrawWindow is how long after it was sent a request can be withdrawn. A
+// node remembers for longer which requests it has passed to its backend server.
+const WithdrawWindow = 10 * time.Second
+
+// WithdrawRequest asks a process not to pass a request to its backend server,
+// after the connection on which the request was sent has failed.
+type WithdrawRequest struct {
+	// Receiver is the process to which the request was sent. Another one cannot
+	// tell what became of it.
+	Receiver core.Incarnation
+	SendID   core.SendID
+}
+
+// WithdrawAnswer confirms, with NotRun, that the request has not been passed to
+// the backend server and never will be.
+type WithdrawAnswer struct{ NotRun bool }
+
 // Handler handles the calls of other nodes.
 type Handler interface {
 	Report(ctx context.Context, r shards.LeaseRequest) shards.LeaseAnswer
 	StepDown(ctx context.Context, r StepDownRequest) StepDownAnswer
 	Document(ctx context.Context, r DocumentRequest) DocumentAnswer
+	Withdraw(ctx context.Context, r WithdrawRequest) WithdrawAnswer
 }
 
 // jsonCodec encodes plain Go types, for which connect-go has no codec.
@@ -76,6 +96,7 @@
 	registerProcedure(mux, reportProcedure, h.Report)
 	registerProcedure(mux, stepDownProcedure, h.StepDown)
 	registerProcedure(mux, documentProcedure, h.Document)
+	registerProcedure(mux, withdrawProcedure, h.Withdraw)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(callIDHeader, r.Header.Get(callIDHeader))
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -50,6 +50,8 @@
 	// mille, share of the link in use per mille, mean delay of requests before
 	// they are read in microseconds, and bytes of bodies that are not read yet.
 	hopLoad = "Marjoram-Hop-Load"
+	// hopNumber is the Number of the request's core.SendID.
+	hopNumber = "Marjoram-Hop-Number"
 	// hopSender is the incarnation of the sending process, and hopSentAt the
 	// time of sending on its clock, in nanoseconds. The response echoes
 	// hopSentAt, which no two requests on a connection have in common.
@@ -130,6 +132,15 @@
 func parseHopField(req *core.Request, f core.Field, now time.Time) error {
 	var n int64
 	switch f.Name {
+	case hopSender, hopNumber:
+		// A malformed one reads as 0: the request is served, but cannot be
+		// withdrawn.
+		v, _ := strconv.ParseUint(f.Value, 10, 64)
+		if f.Name == hopSender {
+			req.SendID.Sender = core.Incarnation(v)
+		} else {
+			req.SendID.Number = v
+		}
 	case hopPriority, hopTimeLeft, hopTargetLeft, hopAttempt:
 		v, err := strconv.ParseInt(f.Value, 10, 64)
 		if err != nil {
@@ -248,6 +259,9 @@
 	if req.Idempotent {
 		setField(hopIdempotent, "1")
 	}
+	if !req.SendID.IsZero() {
+		setField(hopNumber, strconv.FormatUint(req.SendID.Number, 10))
+	}
 }
 
 // AddSendTimeFields implements gate.Dialect.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -41,7 +41,7 @@
 func newRequest(now time.Time) *core.Request {
 	return &core.Request{
 		ID: "id-1", Service: "prices", Key: "77", Route: "look", Idempotent: true, Priority: 2, Attempt: 1,
-		Instance: "i-1", Origin: "reports", Deadline: now.Add(2 * time.Second), TargetTime: now.Add(time.Second),
+		SendID: core.SendID{Sender: newSender().Incarnation, Number: 9}, Instance: "i-1", Origin: "reports", Deadline: now.Add(2 * time.Second), TargetTime: now.Add(time.Second),
 		Method: "GET", Path: "/a/1?x=%2F", Body: core.NoBody,
 		Header: []core.Field{{Name: "Host", Value: "h.example"}, {Name: "X-Other", Value: "kept"}, {Name: hopCode, Value: "1"}},
 	}
@@ -68,6 +68,7 @@
 	}
 	must.Eq(t, []any{want.ID, want.Service, want.Key, want.Route, true, 2, 1, "i-1", want.Origin, want.Method, want.Path},
 		[]any{got.ID, got.Service, got.Key, got.Route, got.Idempotent, got.Priority, got.Attempt, got.Instance, got.Origin, got.Method, got.Path})
+	must.Eq(t, want.SendID, got.SendID)
 	must.SliceContains(t, got.Header, core.Field{Name: "X-Other", Value: "kept"})
 	must.Between(t, -100*time.Millisecond, got.Deadline.Sub(want.Deadline), 100*time.Millisecond)
 	must.Between(t, -100*time.Millisecond, got.TargetTime.Sub(want.TargetTime), 100*time.Millisecond)
@@ -142,6 +143,11 @@
 	return DocumentAnswer{Revision: 9, Spec: []byte(fmt.Sprintf(`{"kind":%q}`, r.Kind))}
 }
 
+// Withdraw implements Handler.
+func (testHandler) Withdraw(_ context.Context, r WithdrawRequest) WithdrawAnswer {
+	return WithdrawAnswer{NotRun: r == WithdrawRequest{Receiver: 1 << 60, SendID: core.SendID{Sender: 1<<60 + 1, Number: 3}}}
+}
+
 // Guards against fields that the codec of the calls loses, and against a failed
 // call without an error.
 func TestCallRoundTrip(t *testing.T) {
@@ -161,6 +167,9 @@
 	d, err := c.Document(ctx, address, DocumentRequest{Kind: "config"})
 	must.NoError(t, err)
 	must.Eq(t, `{"kind":"config"}`, string(d.Spec))
+	w, err := c.Withdraw(ctx, address, WithdrawRequest{Receiver: 1 << 60, SendID: core.SendID{Sender: 1<<60 + 1, Number: 3}})
+	must.NoError(t, err)
+	must.True(t, w.NotRun)
 	server.Config.Handler = http.NotFoundHandler()
 	_, err = c.StepDown(ctx, address, StepDownRequest{})
 	must.Error(t, err)
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -39,6 +39,7 @@
 // refusal.
 type slotRequest struct {
 	ticket   slotqueue.Ticket
+	sendID   core.SendID // zero if the request cannot be withdrawn
 	decision ring.Reply[*core.Error]
 }
 
@@ -84,6 +85,7 @@
 	ctx          context.Context
 	queue        *slotqueue.Queue
 	failures     dispatch.FailureTracker
+	sends        sendRecords
 	run          Run
 	lastSequence int64
 	lastReport   clock.Instant
@@ -127,7 +129,7 @@
 
 // Run runs the proxy's event loop until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
-	st := &state{Proxy: p, ctx: ctx, queue: slotqueue.New()}
+	st := &state{Proxy: p, ctx: ctx, queue: slotqueue.New(), sends: newSendRecords()}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -171,8 +173,8 @@
 		return now.Add(time.Until(t))
 	}
 	request := &slotRequest{
-		ticket:   slotqueue.Ticket{Class: req.Route, Priority: req.Priority, TargetTime: toInstant(req.TargetTime), Deadline: toInstant(req.Deadline)},
-		decision: ring.NewReply[*core.Error](),
+		ticket: slotqueue.Ticket{Class: req.Route, Priority: req.Priority, TargetTime: toInstant(req.TargetTime), Deadline: toInstant(req.Deadline)},
+		sendID: req.SendID, decision: ring.NewReply[*core.Error](),
 	}
 	request.ticket.CallerData = request
 	if p.requests.Push(ctx, request) != nil {
@@ -234,17 +236,28 @@
 	decision := st.queue.Offer(st.now(), &request.ticket)
 	switch decision.Verdict {
 	case slotqueue.Admit:
-		request.decision.Send(nil)
+		st.admitAll([]*slotqueue.Ticket{&request.ticket})
 	case slotqueue.Refuse:
 		st.counts.refused.Add(1)
 		request.decision.Send(&core.Error{Code: decision.Code, Detail: "no slot of the backend server becomes free in time", RetryAfter: decision.RetryAfter})
 	}
 }
 
-// admitAll grants a slot to each of the tickets.
+// admitAll grants a slot to each of the tickets. It refuses those of withdrawn
+// requests and gives their slots to others.
 func (st *state) admitAll(tickets []*slotqueue.Ticket) {
-	for _, t := range tickets {
-		t.CallerData.(*slotRequest).decision.Send(nil)
+	for len(tickets) > 0 {
+		request := tickets[0].CallerData.(*slotRequest)
+		tickets = tickets[1:]
+		switch {
+		case st.sends.isWithdrawn(request.sendID):
+			request.decision.Send(core.Fail(core.CodeCanceledNotRun, "the node that sent the request has withdrawn it"))
+			tickets = append(tickets, st.queue.Done(st.now(), &request.ticket, false)...)
+			continue
+		case !request.sendID.IsZero():
+			st.sends.admit(st.now(), request.sendID)
+		}
+		request.decision.Send(nil)
 	}
 }
 
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -49,6 +49,14 @@
 	return peers.DocumentAnswer{}
 }
 
+// Withdraw implements peers.Handler.
+func (h peerHandler) Withdraw(ctx context.Context, r peers.WithdrawRequest) peers.WithdrawAnswer {
+	if r.Receiver != h.node.self.Incarnation {
+		return peers.WithdrawAnswer{}
+	}
+	return peers.WithdrawAnswer{NotRun: h.node.backend.Withdraw(ctx, r.SendID)}
+}
+
 // keyTable returns the node's key table of a service, or an empty answer.
 func (h peerHandler) keyTable(s core.Service) peers.DocumentAnswer {
 	c := h.node.keyController(s)
--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -5,6 +5,9 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/apex/log"
+
+	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/peers"
@@ -13,8 +16,9 @@
 // peerLinks sends requests to other nodes over one link for each, and requests
 // for the node's own backend server straight to its proxy.
 type peerLinks struct {
-	node      *Node
-	byAddress sync.Map // *peerLink by inbound address; links are never removed
+	node       *Node
+	byAddress  sync.Map      // *peerLink by inbound address; links are never removed
+	lastNumber atomic.Uint64 // of a core.SendID
 }
 
 // peerLink is the link to one inbound address.
@@ -49,7 +53,42 @@
 		return nil, core.Wrap(core.CodePeerUnreachable, err, "invalid inbound address of a node")
 	}
 	link.setIncarnation(p.Incarnation)
-	return link.Send(ctx, l.node.clock, req, p.Load)
+	if !req.Idempotent {
+		req.SendID = core.SendID{Sender: l.node.self.Incarnation, Number: l.lastNumber.Add(1)}
+	}
+	sentAt := l.node.clock.Now()
+	resp, err := link.Send(ctx, l.node.clock, req, p.Load)
+	if err != nil && l.withdraw(ctx, p, req, sentAt, core.AsError(err)) {
+		return nil, core.Wrap(core.CodePeerUnreachable, err, "the connection to the node failed before the node passed the request on; the node will refuse it")
+	}
+	return resp, err
+}
+
+// withdraw asks the node to which a request was sent, on a connection that then
+// failed with e, not to pass it to its backend server. It reports whether the
+// request has not run and never will.
+//
+// The answer is sound because the process that received the request gives it:
+// that process remembers what it has passed on for longer than WithdrawWindow,
+// and refuses the request whenever it still arrives. A process that has ended
+// passes nothing on, but another one at its address does not know what the former
+// did; it has another incarnation and confirms nothing.
+func (l *peerLinks) withdraw(ctx context.Context, p *fleet.Peer, req *core.Request, sentAt clock.Instant, e *core.Error) bool {
+	answered := e.PeerTime > 0
+	if e.Code != core.CodeUnknown || answered || req.SendID.IsZero() || p.Incarnation == 0 || ctx.Err() != nil {
+		return false
+	}
+	answer, err := l.node.peerClient.Withdraw(ctx, p.PeerAddress, peers.WithdrawRequest{
+		Receiver: p.Incarnation, SendID: req.SendID,
+	})
+	age := l.node.clock.Now().Sub(sentAt)
+	withdrawn := err == nil && answer.NotRun && age < peers.WithdrawWindow
+	fields := log.Fields{"id": req.ID, "peer": p.Node, "withdrawn": withdrawn, "age_ms": age.Milliseconds()}
+	if err != nil {
+		fields["error"] = err
+	}
+	l.node.log.WithFields(fields).Info("request on a failed connection withdrawn from the other node, or not if it may run there")
+	return withdrawn
 }
 
 // linkTo returns the link to an inbound address.
