fleet: prefer coordinators with fast links

A coordinator was ranked by processor time and service only, and with equal processor time a VM of another service came first: on a fleet whose other service takes uploads, that is a VM whose link can be full of bodies. Leases and key tables then wait behind them, and backend servers lose their keys.

VMs whose links differ by about a factor of two now rank by that, after the processor time and before the service.

Evidence: TestCoordinatorRankPrefersFastLinks failed before (rank 0 for the VM with 10 Mbit/s beside one with 200).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -307,8 +307,9 @@
 }
 
 // CoordinatorRank returns this node's place, from 0, among the live candidates
-// to coordinate a service. Much stronger VMs come first, since a coordinator
-// answers all members several times within a lease. Nodes of other services
+// to coordinate a service. VMs with much more processor time come first, then
+// those with much faster links, since a coordinator answers all members several
+// times within a lease and sends them the key table. Nodes of other services
 // come next, so that the loss of a VM seldom takes the coordinator and keys at
 // once.
 func (v *View) CoordinatorRank(service core.Service) int {
@@ -326,7 +327,10 @@
 }
 
 func ranksBefore(a, b Entry, service core.Service) bool {
-	if x, y := cpuClass(a), cpuClass(b); x != y {
+	if x, y := powerOfTwo(a.CPUCores), powerOfTwo(b.CPUCores); x != y {
+		return x > y
+	}
+	if x, y := powerOfTwo(a.LinkMbps), powerOfTwo(b.LinkMbps); x != y {
 		return x > y
 	}
 	if (a.Service == service) != (b.Service == service) {
@@ -335,13 +339,13 @@
 	return a.Node < b.Node
 }
 
-// cpuClass groups VMs by powers of two of their processor time, so that only
-// VMs which differ by about a factor of two get different ranks for it.
-func cpuClass(e Entry) int {
-	if e.CPUCores <= 0 {
+// powerOfTwo groups VMs by powers of two of a capacity, so that only VMs which
+// differ by about a factor of two get different ranks for it.
+func powerOfTwo(capacity float64) int {
+	if capacity <= 0 {
 		return 0
 	}
-	return math.Ilogb(e.CPUCores)
+	return math.Ilogb(capacity)
 }
 
 // ForEachPeer calls f for each other node of the fleet.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -97,6 +97,21 @@
 	must.Eq(t, 2, v.CoordinatorRank("s"), must.Sprint("rank after the strong VM and, by name, the other one"))
 }
 
+// Guards against a coordinator on a VM with a slow link, where its calls wait
+// behind the bodies of uploads to another service, while a faster one is free.
+func TestCoordinatorRankPrefersFastLinks(t *testing.T) {
+	v := NewView("slow")
+	for id, mbps := range map[string]float64{"slow": 10, "fast": 200, "same": 12} {
+		e := newEntry(id, 1, 1, 1)
+		e.CPUCores, e.LinkMbps = 0.5, mbps
+		if id == "slow" {
+			e.Service = "uploads"
+		}
+		v.ApplyBeacon(start, Beacon{Entry: e})
+	}
+	must.Eq(t, 1, v.CoordinatorRank("s"), must.Sprint("rank after the fast link, before the VM beside a holder of keys"))
+}
+
 // Guards against a coordinator beside a holder of keys while a node of another
 // service could coordinate, and against two candidates of the same rank.
 func TestCoordinatorRankPrefersOtherServices(t *testing.T) {
