--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -48,7 +48,11 @@
 
 // Client calls other nodes. It is safe for concurrent use. Its errors are of
 // type *CallError.
-type Client struct{ calls, documents httpClient }
+type Client struct {
+	calls     httpClient
+	fresh     httpClient // takes a new connection for each call
+	documents httpClient
+}
 
 // httpClient is an HTTP client and the timeout of its calls.
 type httpClient struct {
@@ -58,17 +62,21 @@
 
 // NewClient returns a client. It connects on the first call to each node.
 func NewClient() *Client {
-	return &Client{calls: newHTTPClient(callDialTimeout, callTimeout), documents: newHTTPClient(documentDialTimeout, documentTimeout)}
+	return &Client{
+		calls:     newHTTPClient(callDialTimeout, callTimeout, true),
+		fresh:     newHTTPClient(callDialTimeout, callTimeout, false),
+		documents: newHTTPClient(documentDialTimeout, documentTimeout, true),
+	}
 }
 
-func newHTTPClient(dialTimeout, timeout time.Duration) httpClient {
+func newHTTPClient(dialTimeout, timeout time.Duration, keepConns bool) httpClient {
 	return httpClient{timeout: timeout, Client: &http.Client{
 		Transport: &callTransport{http: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, IdleConnTimeout: callIdleTimeout,
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, IdleConnTimeout: callIdleTimeout, DisableKeepAlives: !keepConns,
 			MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
 }
 
 // callTransport numbers the calls and rejects answers to other ones.
@@ -150,9 +158,11 @@
 }
 
 // Withdraw withdraws a request that was sent to the node whose peer address is
-// address, host:port. An error leaves the outcome of the request unknown.
+// address, host:port. An error leaves the outcome of the request unknown. The call
+// takes a new connection: what broke that of the request may have broken the kept
+// ones too.
 func (c *Client) Withdraw(ctx context.Context, address string, r WithdrawRequest) (WithdrawAnswer, error) {
-	return callPeer[WithdrawRequest, WithdrawAnswer](ctx, c.calls, address, withdrawProcedure, r)
+	return callPeer[WithdrawRequest, WithdrawAnswer](ctx, c.fresh, address, withdrawProcedure, r)
 }
 
 func callPeer[Req, Res any](ctx context.Context, c httpClient, address, procedure string, r Req) (Res, error) {
