--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -76,7 +76,7 @@
 			MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	}}
 }
 
 // callTransport numbers the calls and rejects answers to other ones.
