peers: test that a request is either withdrawn or admitted

300 requests are withdrawn while they get their slots: each either runs or is refused, as the answer to its withdrawal says.

--- a/sidecar/backend/sends_test.go
+++ b/sidecar/backend/sends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -82,3 +83,34 @@
 	must.True(t, s.isWithdrawn(id(10_001)))
 	must.Eq(t, maxWithdrawn, len(s.withdrawnAt))
 }
+
+// Guards against a withdrawal that is confirmed while the request gets its slot.
+func TestWithdrawalAndAdmissionExcludeEachOther(t *testing.T) {
+	p := startProxy(t)
+	var confirmed, ran int
+	for n := uint64(1); n <= 300; n++ {
+		req := newRequest("r", 0, strings.NewReader(""))
+		req.SendID = core.SendID{Sender: 5, Number: n}
+		done := make(chan error, 1)
+		go func() {
+			resp, err := p.Serve(t.Context(), req)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			done <- err
+		}()
+		if n%2 == 0 {
+			runtime.Gosched()
+		}
+		notRun := p.Withdraw(t.Context(), req.SendID)
+		err := <-done
+		must.Eq(t, notRun, err != nil, must.Sprint("request ", n, ": ", err))
+		if notRun {
+			must.Eq(t, core.CodeCanceledNotRun, core.CodeOf(err))
+			confirmed++
+		} else {
+			ran++
+		}
+	}
+	t.Logf("%d withdrawn, %d ran", confirmed, ran)
+}
