soak: wait until the address of a replaced backend server is free

A run of TestShortSoak ended with "listen tcp 127.35.0.4:8145: bind: address already in use" at load 71 on 8 cores, when a step replaced a backend server. A child process that is forked to start a node has a copy of each listener until it executes its program; until then the address stays in use although the soak has closed its listener.

The soak now tries again for 5 s. TestShortSoak now also logs the late timers and the violations when it fails.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,7 @@
 		logDir, err := os.MkdirTemp("", "soak-failed-")
 		must.NoError(t, err)
 		must.NoError(t, os.CopyFS(logDir, os.DirFS(dir)))
+		result.Print(&steps)
 		t.Logf("logs: %s\n%s", logDir, steps.String())
 	}
 	must.SliceEmpty(t, result.Violations)
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -31,6 +32,10 @@
 	workTime = 25 * time.Millisecond
 	// restartDelay is the time between the exit of a process and its restart.
 	restartDelay = 200 * time.Millisecond
+	// addressFreeTime is how long the address of an ended backend server may stay
+	// in use: a child process that was forked has a copy of its listener until it
+	// executes its program.
+	addressFreeTime = 5 * time.Second
 	// maxParallelNodes is the number of nodes up to which each process may use
 	// all processors.
 	maxParallelNodes = 20
@@ -121,10 +126,14 @@
 func (v *vm) startServer() error {
 	v.serverStarts++
 	name := fmt.Sprintf("%s-%d", v.name, v.serverStarts)
-	server, err := keyed.Start(v.ip+":"+strconv.Itoa(wire.PortBackend), keyed.Config{
+	address, cfg := v.ip+":"+strconv.Itoa(wire.PortBackend), keyed.Config{
 		Service: v.service, Instance: name, ReportAddress: v.ip + ":" + strconv.Itoa(wire.PortReports), Sharded: v.service == keyedService,
 		Slots: serverSlots, ServiceTime: workTime, ReportInterval: reportInterval, Observer: observer{v.run, v.service},
-	})
+	}
+	server, err := keyed.Start(address, cfg)
+	for end := v.run.elapsed() + addressFreeTime; errors.Is(err, syscall.EADDRINUSE) && v.run.elapsed() < end && v.run.sleep(v.run.ctx, pollInterval); {
+		server, err = keyed.Start(address, cfg)
+	}
 	if err != nil {
 		return wrapError("start a backend server", err)
 	}
