--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -83,14 +83,17 @@
 
 // countReads returns the number of bytes that c reads from its connections.
 func countReads(c *Client) *atomic.Int64 {
-	read, transport := &atomic.Int64{}, c.calls.Transport.(*callTransport).http
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
+	read := &atomic.Int64{}
+	for _, client := range []httpClient{c.calls, c.fresh, c.documents} {
+		transport := client.Transport.(*callTransport).http
+		dial := transport.DialContext
+		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countingConn{conn.(*net.TCPConn), read}, nil
 		}
-		return countingConn{conn.(*net.TCPConn), read}, nil
 	}
 	return read
 }
