fleet: count each beacon of a node once

A beacon carried only the number of its entry, which seldom changes. The newest beacon of a node, delivered again, therefore kept the lost node alive, and an earlier one with the same entry brought back the load, the versions of the tables and the state of the coordinator that it reported.

Beacons are now numbered within an incarnation, and one that is not later than the last is dropped. Nodes of earlier versions ignore the number, and theirs, without one, are taken as before.

Evidence: TestRepeatedNewestBeacon failed before, with 7 instead of 8 running requests, and TestBeaconsAreNumbered with 0. TestBeaconsWithoutSequenceKeepNodeAlive covers nodes of earlier versions.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,6 +67,9 @@
 // Beacon is what a node sends to the others periodically.
 type Beacon struct {
 	Entry Entry `json:"e"`
+	// Sequence increases with each beacon of an incarnation. Nodes of versions
+	// that send none have 0.
+	Sequence uint64 `json:"q,omitempty"`
 	// Running and Waiting count the requests at the backend server and in the
 	// queue before it.
 	Running int `json:"r"`
@@ -128,6 +131,7 @@
 	load          *Load
 	firstSeenAt   clock.Instant // first entry or beacon of this incarnation
 	lastBeaconAt  clock.Instant // zero before any beacon
+	lastSequence  uint64        // of the beacons of this incarnation
 	configVersion uint64
 	configDigest  []byte
 	tableVersions map[core.Service]uint64
@@ -168,7 +172,7 @@
 // replaceEntry takes in an entry of a node that the view has.
 func (v *View) replaceEntry(now clock.Instant, n *nodeState, e Entry) {
 	if e.Incarnation != n.entry.Incarnation {
-		n.firstSeenAt, n.lastBeaconAt, n.load = now, 0, &Load{}
+		n.firstSeenAt, n.lastBeaconAt, n.lastSequence, n.load = now, 0, 0, &Load{}
 	}
 	n.entry, n.alive = e, true
 	v.changed = true
@@ -185,7 +189,8 @@
 	v.changed = true
 }
 
-// ApplyBeacon takes in a beacon, unless it is from a former incarnation.
+// ApplyBeacon takes in a beacon, unless it is from a former incarnation or not
+// later than one that was received. A datagram may arrive more than once.
 func (v *View) ApplyBeacon(now clock.Instant, b Beacon) {
 	v.ApplyEntry(now, b.Entry)
 	n := v.nodes[b.Entry.Node]
@@ -196,6 +201,10 @@
 	if n == nil || n.entry.Incarnation != b.Entry.Incarnation || b.Entry.Serial < n.entry.Serial {
 		return // from a former incarnation, or older than one that was received
 	}
+	if b.Sequence != 0 && b.Sequence <= n.lastSequence {
+		return
+	}
+	n.lastSequence = b.Sequence
 	if !n.alive {
 		n.alive, v.changed = true, true
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -82,6 +82,43 @@
 	must.True(t, s.Nodes["a"].Alive)
 }
 
+// Guards against the newest beacon of a node that arrives again after the node
+// was lost, or after a later one with the same entry, and counts once more. The
+// sequence starts again with each incarnation.
+func TestRepeatedNewestBeacon(t *testing.T) {
+	v := NewView("me")
+	beacon := func(incarnation, sequence uint64, running int) Beacon {
+		return Beacon{Entry: newEntry("a", incarnation, int64(incarnation), 1), Sequence: sequence, Running: running}
+	}
+	v.ApplyBeacon(start, beacon(1, 7, 7))
+	v.ApplyBeacon(start, beacon(1, 8, 8))
+	v.ApplyBeacon(start, beacon(1, 7, 7))
+	running, _ := v.nodes["a"].load.RequestCounts()
+	must.Eq(t, 8, running)
+	for d := time.Duration(0); d <= lostAfter; d += lostAfter / 4 {
+		v.ApplyBeacon(start.Add(d), beacon(1, 8, 8))
+	}
+	v.UpdateLiveness(start.Add(lostAfter))
+	must.False(t, v.nodes["a"].alive)
+	v.ApplyBeacon(start.Add(lostAfter), beacon(1, 9, 9))
+	must.True(t, v.nodes["a"].alive)
+	v.ApplyBeacon(start.Add(lostAfter), beacon(2, 1, 1))
+	running, _ = v.nodes["a"].load.RequestCounts()
+	must.Eq(t, 1, running)
+}
+
+// Guards against a node of a version without sequence numbers that counts as
+// lost.
+func TestBeaconsWithoutSequenceKeepNodeAlive(t *testing.T) {
+	v := NewView("me")
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * lostAfter / 2)
+		v.ApplyBeacon(now, Beacon{Entry: newEntry("a", 1, 1, 1)})
+		v.UpdateLiveness(now.Add(lostAfter / 2))
+		must.True(t, v.nodes["a"].alive)
+	}
+}
+
 // Guards against a coordinator on a weak VM. In a large fleet, one with 0.16 of
 // a core did not answer 53 members within a lease, and no key was served.
 func TestCoordinatorRankPrefersStrongVMs(t *testing.T) {
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -144,6 +144,7 @@
 	view           *fleet.View
 	self           fleet.Entry
 	lastBeaconTime clock.Instant
+	beaconSequence uint64 // of the last beacon
 	lostNodes      map[core.NodeID]bool
 	lag            fleet.ConfigLag
 	// announcedVersion is the version of the configuration in the last beacon,
@@ -241,8 +242,9 @@
 	if s.now().Sub(s.announcedAt) >= digestPeriod {
 		local.ConfigDigest = nil
 	}
+	s.beaconSequence++
 	data, err := peers.EncodeBeacon(fleet.Beacon{
-		Entry: s.self, Running: local.Usage.Running, Waiting: local.Usage.Waiting, MeanServiceMicros: local.Usage.MeanServiceTime.Microseconds(),
+		Entry: s.self, Sequence: s.beaconSequence, Running: local.Usage.Running, Waiting: local.Usage.Waiting, MeanServiceMicros: local.Usage.MeanServiceTime.Microseconds(),
 		LinkShare: local.Usage.LinkShare, ReadDelayMicros: local.Usage.ReadDelay.Microseconds(),
 		UnreadBodyBytes: local.Usage.UnreadBodyBytes,
 		FailedShare:     local.Usage.FailedShare, ConfigVersion: local.ConfigVersion, ConfigDigest: local.ConfigDigest, TableVersions: local.TableVersions, UnconfirmedMs: local.UnconfirmedMs,
--- a/sidecar/nodes/nodes_test.go
+++ b/sidecar/nodes/nodes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,6 +32,17 @@
 	return b, nil
 }
 
+// recordingSocket delivers beacons and passes on what is sent.
+type recordingSocket struct {
+	fakeSocket
+	sent chan []byte
+}
+
+func (s recordingSocket) Send(data []byte, _ string) error {
+	s.sent <- data
+	return nil
+}
+
 // fakeController has a key table of the given revision.
 type fakeController struct{ revision atomic.Uint64 }
 
@@ -116,3 +128,34 @@
 	version.Store(5)
 	waitUntil(func() bool { return tracker.NewerConfig() == nil })
 }
+
+// Guards against beacons that other nodes take for repetitions of earlier ones.
+func TestBeaconsAreNumbered(t *testing.T) {
+	socket := recordingSocket{fakeSocket{make(chan fleet.Beacon)}, make(chan []byte, 100)}
+	tracker := New(Config{
+		Self: fleet.Entry{Node: "me", Incarnation: 1}, Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default}, Socket: socket,
+		LocalStatus:     func() Status { return Status{} },
+		KeyControllers:  func() map[core.Service]KeyController { return nil },
+		OnTick:          func(clock.Instant, int) {},
+		OnNewerDocument: func(NewerDocument) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go tracker.Run(ctx)
+	go tracker.Receive(ctx)
+	defer close(socket.beacons)
+	socket.beacons <- fleet.Beacon{Entry: fleet.Entry{Node: "other", Incarnation: 2, PeerAddress: "there", Serial: 1}}
+	tracker.SendBeacons()
+	last := uint64(0)
+	for range 3 {
+		select {
+		case data := <-socket.sent:
+			var b fleet.Beacon
+			must.NoError(t, json.Unmarshal(data, &b))
+			must.Less(t, b.Sequence, last)
+			last = b.Sequence
+		case <-time.After(5 * time.Second):
+			t.Fatal("no beacon was sent")
+		}
+	}
+}
