shards: withhold leases from runs, not from reported members

A write that takes keys from a run which has been silent for a lease withheld leases only from members whose last report named this run. A member that reported while the write was under way got a lease on the keys if it reported as a new process, with a run that it had not reported before, or to this coordinator for the first time. When the write took effect, the keys had two holders. A write whose answer is lost can be under way for seconds.

The coordinator now keeps the runs whose keys such a write takes, and gives none of them a lease until its result is known.

Evidence: each case of TestNoLeaseOnKeysThatAWriteTakes failed before with a lease of 3 s instead of none.

--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -26,9 +26,6 @@
 	lastRequestAt clock.Instant
 	releases      []Release
 	endedRuns     []Holder
-	// leaseWithheld is set while a write that takes keys from the member is
-	// under way. The member gets no lease then.
-	leaseWithheld bool
 	// recalled are rows that the member has been asked to return.
 	recalled []Row
 	// rowsVersion counts changes of the rows that the member may hold. sentRows
@@ -59,6 +56,10 @@
 	balanceCheckedAt clock.Instant // last check of the balance
 	recallSeenAt     clock.Instant // last time at which recalled rows were outstanding
 	writePending     bool
+	// withheldHolders are the runs from which a write that is under way takes
+	// keys that they have not released. They get no lease, whether or not their
+	// member has reported them before.
+	withheldHolders map[Holder]bool
 	// writeUncertain is set while a write whose answer is missing may still
 	// take effect. Leases that it withholds stay withheld until a later write
 	// or read shows the result.
@@ -72,7 +73,7 @@
 // NewCoordinator returns a coordinator without authority. TakeOver gives it
 // authority.
 func NewCoordinator(timing Timing, node core.NodeID, incarnation core.Incarnation) *Coordinator {
-	return &Coordinator{timing: timing, node: node, incarnation: incarnation, memberStates: make(map[core.NodeID]*memberState)}
+	return &Coordinator{timing: timing, node: node, incarnation: incarnation, memberStates: make(map[core.NodeID]*memberState), withheldHolders: make(map[Holder]bool)}
 }
 
 // Active reports whether this node is the coordinator.
@@ -105,6 +106,7 @@
 	c.setRecord(record, revision)
 	c.confirmedAt, c.tookOverAt, c.membersChangedAt = sentAt, now, now
 	c.memberStates = make(map[core.NodeID]*memberState)
+	clear(c.withheldHolders)
 	switch {
 	case former == FormerNone:
 		c.earlierLeasesEnd = now
@@ -156,8 +158,8 @@
 func (c *Coordinator) adoptRecord(record Assignment, revision uint64) {
 	c.setRecord(record, revision)
 	c.writeUncertain = false
+	clear(c.withheldHolders)
 	for _, state := range c.memberStates {
-		state.leaseWithheld = false
 		state.recalled = keepAssigned(state.recalled, c.record.Rows)
 	}
 }
@@ -220,7 +222,7 @@
 	if a.Version != r.Rows || r.Term < c.record.Term {
 		a.Rows = rows
 	}
-	if c.hasAuthority(now) && !state.leaseWithheld {
+	if c.hasAuthority(now) && !c.withheldHolders[state.holder] {
 		a.Lease = c.timing.Lease
 		state.leaseEnds[state.holder] = now.Add(stretchForDrift(c.timing.Lease))
 	}
@@ -309,29 +311,29 @@
 	return c.active && !c.writePending && (c.unreadSince != 0 || now.Sub(c.confirmedAt) >= c.timing.ConfirmInterval)
 }
 
-// beginWrite withholds leases from the members that lose keys in next without
+// beginWrite withholds leases from the runs that lose keys in next without
 // having released them, until the result of the write is known.
 func (c *Coordinator) beginWrite(next []Row) {
 	c.writePending = true
-	for _, state := range c.memberStates {
-		state.leaseWithheld = state.leaseWithheld && c.writeUncertain
+	if !c.writeUncertain {
+		clear(c.withheldHolders)
 	}
 	for _, r := range c.record.Rows {
 		if r.Holder == NoHolder {
 			continue
 		}
-		state := c.memberStates[r.Holder.Node]
-		if state == nil || state.holder != r.Holder {
-			continue
-		}
-		if !c.hasReleased(state, r) && reassigns(next, r) {
-			state.leaseWithheld = true
+		if !c.hasReleased(c.memberStates[r.Holder.Node], r) && reassigns(next, r) {
+			c.withheldHolders[r.Holder] = true
 		}
 	}
 }
 
-// hasReleased reports whether a member has released any part of a row.
+// hasReleased reports whether a member has released any part of a row. state is
+// nil if the member has not reported.
 func (c *Coordinator) hasReleased(state *memberState, r Row) bool {
+	if state == nil {
+		return false
+	}
 	for _, release := range state.releases {
 		if release.Fence == r.Fence && release.Overlaps(r.Span) {
 			return true
--- /dev/null
+++ b/shards/withheld_test.go
@@ -0,0 +1,50 @@
+package shards
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"marjoramshore.example/core"
+)
+
+// Guards against a key with two holders: a member that reports while a write
+// takes its keys, as a new process, with a run that it did not report before, or
+// to this coordinator for the first time, and gets a lease on them.
+func TestNoLeaseOnKeysThatAWriteTakes(t *testing.T) {
+	lost := Holder{Node: "n", Instance: "i", Born: 1}
+	other := Holder{Node: "o", Instance: "o", Born: 1}
+	request := func(h Holder, incarnation core.Incarnation) LeaseRequest {
+		return LeaseRequest{Node: "n", Incarnation: incarnation, Term: 1, Holder: h, Ready: h != NoHolder, Slots: 4}
+	}
+	for name, before := range map[string]func(c *Coordinator){
+		"first report": func(*Coordinator) {},
+		"new process": func(c *Coordinator) {
+			must.Positive(t, c.HandleRequest(testStart, request(lost, 1)).Lease)
+		},
+		"run not reported": func(c *Coordinator) {
+			c.HandleRequest(testStart.Add(4*time.Second), request(NoHolder, 2))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := Assignment{Service: "s", NextFence: 2, Rows: []Row{{Span: Span{0, KeyCount - 1}, Holder: lost, Fence: 1}}}
+			record = record.WithCoordinator("c", 1)
+			c := NewCoordinator(DefaultTiming(), "c", 1)
+			c.TakeOver(testStart, testStart, record, 1, FormerNone, true)
+			before(c)
+			now := testStart.Add(4 * time.Second)
+			c.HandleRequest(now, LeaseRequest{Node: "o", Incarnation: 1, Term: 1, Holder: other, Ready: true, Slots: 4})
+			next, ok := c.Plan(now)
+			must.True(t, ok)
+			must.Eq(t, other, next.Find(0).Holder)
+			r := request(lost, 2)
+			must.Eq(t, 0, c.HandleRequest(now, r).Lease)
+			c.CompleteWrite(now, now, false, Assignment{}, 0)
+			must.Eq(t, 0, c.HandleRequest(now, r).Lease, must.Sprint("the failed write may still take effect"))
+			c.ObserveRecord(now.Add(time.Millisecond), next, 2)
+			a := c.HandleRequest(now, r)
+			must.Positive(t, a.Lease)
+			must.SliceEmpty(t, a.Rows)
+		})
+	}
+}
