shards: simulate requests that arrive twice or late

A call to the coordinator may be repeated on another connection, and its first attempt handled after later requests. TestRepeatedRequestsNoTwoHolders delivers a quarter of the requests twice, up to 3 s apart, with their answers, under the faults of TestNoTwoHolders.

--- a/shards/sim_test.go
+++ b/shards/sim_test.go
@@ -21,6 +21,9 @@
 	seed uint64
 	// healthy is set while the store answers every write.
 	healthy bool
+	// repeats is set while requests to the coordinator may arrive twice, and
+	// after later ones.
+	repeats bool
 	rnd     *rand.Rand
 	now     clock.Instant
 	store   simStore
@@ -262,7 +265,18 @@
 		return
 	}
 	sent, req, inc := x.s.now, x.member.BuildRequest(), x.incarnation
-	x.s.after(x.s.delay(), func() {
+	x.sendRequest(c, sent, req, inc, x.s.delay())
+	if x.s.repeats && x.s.rnd.IntN(4) == 0 {
+		// The call is repeated on another connection. The first one may arrive
+		// after it, or after requests of the next seconds.
+		x.sendRequest(c, sent, req, inc, x.s.delay()+time.Duration(x.s.rnd.IntN(3000))*time.Millisecond)
+	}
+}
+
+// sendRequest delivers a request to the coordinator after a delay, and its answer
+// to the member.
+func (x *simNode) sendRequest(c *simNode, sent clock.Instant, req LeaseRequest, inc core.Incarnation, delay time.Duration) {
+	x.s.after(delay, func() {
 		if !x.reaches(c) {
 			return
 		}
@@ -475,6 +489,24 @@
 	}
 }
 
+// Guards against a request to the coordinator that arrives twice, or after later
+// ones, and gives away keys that the member holds again.
+func TestRepeatedRequestsNoTwoHolders(t *testing.T) {
+	for seed := range uint64(*seedCount) {
+		s := newSim(t, seed, 4+int(seed%4))
+		s.repeats = true
+		for i := range 6000 {
+			s.step()
+			if i > 400 && s.rnd.IntN(200) == 0 {
+				s.injectFault()
+			}
+		}
+		if s.heldSamples*10 < s.samples*3 {
+			t.Errorf("seed %d: keys were held only %d%% of the time", seed, 100*s.heldSamples/s.samples)
+		}
+	}
+}
+
 // runUntilAllHeld runs until all keys are held. It returns the time that this
 // took, and whether it was within the limit.
 func (s *sim) runUntilAllHeld(limit time.Duration) (time.Duration, bool) {
