shards: withhold leases for the keys that a member has not released

A member that had released any part of a row counted as having released the row. If it was then silent for a lease and the whole row went to another member, it could get a lease on the rest of the row while the write was under way, and the rest had two holders. Leases are now withheld if a part that was not released is taken.

Evidence: the case of a released part in TestNoLeaseOnKeysThatAWriteTakes failed before.

--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -322,24 +322,27 @@
 		if r.Holder == NoHolder {
 			continue
 		}
-		if !c.hasReleased(c.memberStates[r.Holder.Node], r) && reassigns(next, r) {
-			c.withheldHolders[r.Holder] = true
+		for _, part := range unreleasedParts(c.memberStates[r.Holder.Node], r) {
+			if reassigns(next, part) {
+				c.withheldHolders[r.Holder] = true
+			}
 		}
 	}
 }
 
-// hasReleased reports whether a member has released any part of a row. state is
-// nil if the member has not reported.
-func (c *Coordinator) hasReleased(state *memberState, r Row) bool {
+// unreleasedParts returns the parts of a row that a member has not released.
+// state is nil if the member has not reported.
+func unreleasedParts(state *memberState, r Row) []Row {
+	parts := []Row{r}
 	if state == nil {
-		return false
+		return parts
 	}
 	for _, release := range state.releases {
-		if release.Fence == r.Fence && release.Overlaps(r.Span) {
-			return true
+		if release.Holder == r.Holder {
+			parts = subtractSpan(parts, release.Span, release.Fence)
 		}
 	}
-	return false
+	return parts
 }
 
 func reassigns(next []Row, r Row) bool {
--- a/shards/withheld_test.go
+++ b/shards/withheld_test.go
@@ -9,8 +9,9 @@
 )
 
 // Guards against a key with two holders: a member that reports while a write
-// takes its keys, as a new process, with a run that it did not report before, or
-// to this coordinator for the first time, and gets a lease on them.
+// takes its keys, as a new process, with a run that it did not report before,
+// after it released a part of them, or to this coordinator for the first time,
+// and gets a lease on them.
 func TestNoLeaseOnKeysThatAWriteTakes(t *testing.T) {
 	lost := Holder{Node: "n", Instance: "i", Born: 1}
 	other := Holder{Node: "o", Instance: "o", Born: 1}
@@ -22,6 +23,11 @@
 		"new process": func(c *Coordinator) {
 			must.Positive(t, c.HandleRequest(testStart, request(lost, 1)).Lease)
 		},
+		"part released": func(c *Coordinator) {
+			r := request(lost, 2)
+			r.Freed = []Release{{ID: 1, Span: Span{0, 9}, Holder: lost, Fence: 1}}
+			must.Positive(t, c.HandleRequest(testStart, r).Lease)
+		},
 		"run not reported": func(c *Coordinator) {
 			c.HandleRequest(testStart.Add(4*time.Second), request(NoHolder, 2))
 		},
