--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +18,6 @@
 	"marjoramshore.example/dispatch"
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/routes"
-	"marjoramshore.example/shards"
 	"marjoramshore.example/sidecar/keys"
 )
 
@@ -195,85 +193,6 @@
 	return b.ReadCloser.Close()
 }
 
-// matchRoute finds the route and sets the fields of the request that follow from
-// it.
-func (q *request) matchRoute() *core.Error {
-	q.routeTable = q.cfg.Routes.Load()
-	if q.routeTable == nil {
-		return &core.Error{Code: core.CodeStaleRevision, Detail: "the node has no configuration yet", RetryAfter: noConfigRetryAfter}
-	}
-	host := ""
-	for _, f := range q.req.Header {
-		if f.Name == "Host" {
-			host = f.Value
-		}
-	}
-	route, ok := q.routeTable.Match(host, q.req.Path)
-	if err := q.checkNewerConfig(host, ok); err != nil {
-		return err
-	}
-	if !ok {
-		return core.Fail(core.CodeNotFound, "no route matches the path on host "+host)
-	}
-	q.route = route
-	q.req.Route, q.req.Priority = route.Name, route.Priority
-	q.req.Idempotent = route.Kind == routes.Idempotent
-	q.req.Service, q.req.Origin = route.PickService(), q.cfg.Origin
-	q.req.TargetTime = q.started.Add(route.LatencyTarget)
-	if timeoutAt := q.started.Add(route.Timeout); route.Timeout > 0 && (q.req.Deadline.IsZero() || timeoutAt.Before(q.req.Deadline)) {
-		q.req.Deadline = timeoutAt
-	}
-	if q.req.Deadline.IsZero() {
-		q.req.Deadline = q.started.Add(defaultTimeout)
-	}
-	return q.parseKey()
-}
-
-// checkNewerConfig refuses a request that the node cannot decide, because other
-// nodes have a configuration that it lacks and that differs in the routes of the
-// host. A route that is missing may be new, so that 404 would be wrong; one that
-// is found may have been removed or lead elsewhere.
-//
-// It decides by the present route for a part of the deadline, since it usually
-// has the newer configuration within milliseconds. The rest is for beacons that
-// wait at a full link.
-func (q *request) checkNewerConfig(host string, found bool) *core.Error {
-	newer := q.cfg.NewerConfig()
-	if newer == nil || newer.Version <= q.routeTable.Version {
-		return nil
-	}
-	digest, known := routes.DecodeDigest(newer.Digest)
-	if known && q.routeTable.Digest.SameForHost(digest, host) || found && q.cfg.Clock.Now().Sub(newer.Since) < oldRouteGrace(q.cfg.ConfigDeadline) {
-		return nil
-	}
-	return &core.Error{
-		Code: core.CodeStaleRevision, RetryAfter: noConfigRetryAfter,
-		Detail: "the node lacks version " + strconv.FormatUint(newer.Version, 10) + " of the configuration, which may have other routes of the host",
-	}
-}
-
-// oldRouteGrace returns how long a node decides by a route that a newer
-// configuration may have changed, from when it hears of that.
-func oldRouteGrace(configDeadline time.Duration) time.Duration { return configDeadline * 2 / 5 }
-
-// defaultTimeout bounds requests for which neither the caller nor the route sets
-// a timeout.
-const defaultTimeout = 30 * time.Second
-
-// parseKey reads the key of a request to a sharded service.
-func (q *request) parseKey() *core.Error {
-	s, ok := q.routeTable.Service(q.req.Service)
-	if !ok || !s.Sharded || q.req.Key == "" {
-		return nil
-	}
-	key, err := strconv.Atoi(q.req.Key)
-	if err != nil || key < 0 || key >= shards.KeyCount {
-		return core.Fail(core.CodeInvalid, "malformed key: not an integer in the key range")
-	}
-	q.keyed, q.key = true, key
-	return nil
-}
-
 // sendUntilDone sends the request until it is answered or package dispatch
 // returns the failure.
 func (q *request) sendUntilDone(ctx context.Context) (*core.Response, error) {
@@ -403,65 +322,6 @@
 	return b.ReadCloser.Read(p)
 }
 
-// choosePeer returns the peer for the next attempt and sets the expected
-// instance.
-func (q *request) choosePeer() (*fleet.Peer, *core.Error) {
-	snapshot := q.cfg.FleetSnapshot()
-	if q.keyed {
-		return q.findOwner(snapshot)
-	}
-	info := dispatch.RequestInfo{
-		Node: q.cfg.Node, Service: q.req.Service, DataCentre: q.cfg.DataCentre, BodyBytes: q.req.Length, Tried: q.triedNodes,
-		TargetLeft: max(0, time.Until(q.req.TargetTime)),
-	}
-	now := q.cfg.Clock.Now()
-	p := dispatch.ChoosePeer(now, snapshot, info, rand.Uint64())
-	if p == nil && len(q.triedNodes) > 0 {
-		info.Tried = nil
-		p = dispatch.ChoosePeer(now, snapshot, info, rand.Uint64())
-	}
-	if p == nil {
-		return nil, core.Fail(core.CodeNoOwner, "no usable backend server of the service is known")
-	}
-	if wait, refuse := dispatch.LinkWait(p, info); refuse {
-		q.linkFull = true
-		return nil, &core.Error{Code: core.CodeQueueFull, Detail: "the link to the backend server has no room for the body", RetryAfter: min(wait, maxLinkRetryAfter)}
-	}
-	q.req.Instance = p.Instance
-	return p, nil
-}
-
-// maxLinkRetryAfter bounds the Retry-After of a request for whose body no link
-// has room. Bodies of other nodes may end before the time of their transfer.
-const maxLinkRetryAfter = time.Second
-
-// findOwner returns the peer whose backend server owns the key, and sets the
-// expected instance.
-func (q *request) findOwner(snapshot *fleet.Snapshot) (*fleet.Peer, *core.Error) {
-	controller := q.cfg.KeyController(q.req.Service)
-	if controller == nil {
-		return nil, core.Fail(core.CodeNoOwner, "the node does not follow the key assignment of the service yet")
-	}
-	table := controller.Table()
-	if table == nil || len(table.Rows) == 0 {
-		return nil, core.Fail(core.CodeNoOwner, "the key table of the service is not known to the node or is empty")
-	}
-	q.keyTableRevision = table.Revision
-	row := table.Find(q.key)
-	if row.Holder == shards.NoHolder {
-		return nil, core.Fail(core.CodeNoOwner, "the key has no owner in the key table")
-	}
-	p := snapshot.Nodes[row.Holder.Node]
-	switch {
-	case p == nil:
-		return nil, core.Fail(core.CodeNoOwner, "the node of the key's owner is not known")
-	case !p.Alive:
-		return nil, core.Fail(core.CodePeerUnreachable, "the node of the key's owner sends no beacons")
-	}
-	q.req.Instance = row.Holder.Instance
-	return p, nil
-}
-
 // completeFailure ends the request with a failure. The returned error tells the
 // caller whether the request may have run and when to retry.
 func (q *request) completeFailure(e *core.Error) *core.Error {
