sidecar: tell refusals before and after a request arrived in a test

TestCallersGetNoAnswerThatBrokeOff got 503 instead of 502 twice, at load above 55 on 8 cores, in one of several hundred requests. Two causes are possible: a request that was refused before it was sent to the backend server, which is right, and a refusal of one that arrived, which is what the test is there to find. The test now counts what the backend server receives. A refused request must not have been received, 100 ms later either, and is sent again, so that each broken answer still has to give 502.

--- a/sidecar/answers_test.go
+++ b/sidecar/answers_test.go
@@ -194,7 +194,9 @@
 		} {
 			for cut := range len(whole) {
 				for _, reset := range []bool{false, true} {
+					var received atomic.Int64
 					b.set(func(c net.Conn, id string, _ int) bool {
+						received.Add(1)
 						_, _ = io.WriteString(c, strings.Replace(whole, "%", id, 1)[:max(0, len(id)-1+cut)])
 						if reset {
 							_ = c.(*net.TCPConn).SetLinger(0)
@@ -202,6 +204,17 @@
 						return false
 					})
 					resp, body, err := f.send(node, "POST", "/sheet/1", "cut", -1, "")
+					// On a busy machine, a request can be refused before it is
+					// sent to the backend server, which must then not receive it.
+					// It is sent again, so that each answer is tested.
+					for range 20 {
+						if err != nil || resp.StatusCode != 503 {
+							break
+						}
+						time.Sleep(100 * time.Millisecond)
+						must.Eq(t, 0, received.Load(), must.Sprintf("%s, after %d bytes: refused and received", kind, cut))
+						resp, body, err = f.send(node, "POST", "/sheet/1", "cut", -1, "")
+					}
 					if err == nil {
 						must.Eq(t, 502, resp.StatusCode, must.Sprintf("%s, after %d bytes: %q", kind, cut, body))
 					}
