sidecar: look at all backend servers at one instant in a test of owners

eachKeyHeldOnce read the keys of one backend server after the other. The stand-in now tells the keys of several servers at one instant, so that a report of two holders is one.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -125,11 +125,11 @@
 func (f *testFleet) eachKeyHeldOnce(s core.Service) bool {
 	var holders [65536]uint8
 	held := 0
-	for i, backend := range f.backends {
+	for i, rows := range keyed.KeyRangesOf(f.backends...) {
 		if f.settings[i].Service != s {
 			continue
 		}
-		for _, row := range backend.KeyRanges() {
+		for _, row := range rows {
 			for k := row.From; k <= row.To; k++ {
 				holders[k]++
 				held++
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -173,13 +173,23 @@
 }
 
 // KeyRanges returns the key ranges that the server holds now.
-func (s *Server) KeyRanges() []KeyRange {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !time.Now().Before(s.heldUntil) {
-		return nil
+func (s *Server) KeyRanges() []KeyRange { return KeyRangesOf(s)[0] }
+
+// KeyRangesOf returns the key ranges that each of the servers holds at one
+// instant, so that a key which moves meanwhile is not seen twice.
+func KeyRangesOf(servers ...*Server) [][]KeyRange {
+	for _, s := range servers {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+	}
+	now := time.Now()
+	out := make([][]KeyRange, len(servers))
+	for i, s := range servers {
+		if now.Before(s.heldUntil) {
+			out[i] = append([]KeyRange(nil), s.held...)
+		}
 	}
-	return append([]KeyRange(nil), s.held...)
+	return out
 }
 
 // RunCount returns how often the request with an attempt id ran.
