--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -423,7 +423,7 @@
 	resp, _, err := f.send(0, "POST", "/sheet/1", "l1", -1, "body")
 	must.NoError(t, err)
 	must.Eq(t, 503, resp.StatusCode, must.Sprint("no backend server of the service is left"))
-	resp, _, err = f.send(0, "GET", "/look/x", "l2", 7, "")
+	resp, body, err := f.send(0, "GET", "/look/x", "l2", 7, "")
 	must.NoError(t, err)
-	must.Eq(t, 200, resp.StatusCode)
+	must.Eq(t, 200, resp.StatusCode, must.Sprint(body, resp.Header))
 }
