Log who left when, and requests that were passed on without their body

Change: both nodes that a request passes log that its sender closed the connection, with the way in which it was noticed and the bytes of the body that were read. The node beside the backend server logs a request that reached it and whose body then broke off, with its wait for a slot. Failures of requests name the length of the body. Requests without a watch, which nothing counted, show as requests_unwatched.

No decision changes.

--- a/frontend/body.go
+++ b/frontend/body.go
@@ -1,8 +1,10 @@
 package frontend
 
 import (
+	"errors"
 	"io"
 	"math"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +36,8 @@
 	cfg       *Config
 	remaining int64 // announced bytes not yet read, or core.UnknownLength
 	bytesRead int64
+	// cutOff is set once the connection has ended within the body.
+	cutOff atomic.Bool
 	// readTime is the time spent in reads. The time in which the consumer of
 	// the body does not read is not held against the caller.
 	readTime    time.Duration
@@ -65,11 +69,15 @@
 	}
 	switch {
 	case err == io.EOF && u.remaining > 0:
+		u.cutOff.Store(true)
 		return n, io.ErrUnexpectedEOF
 	case err == io.EOF || u.remaining == 0:
 		_, err = u.reachEOF()
 		return n, err
 	case err != nil:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			u.cutOff.Store(true)
+		}
 		return n, err
 	case u.bytesRead > u.cfg.MaxBodyBytes:
 		return 0, BodyTooLargeError{}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -56,6 +56,9 @@
 	BodyIdleTimeout time.Duration
 	// Meter counts the bytes of the connections; it may be nil.
 	Meter *core.ByteMeter
+	// OnDisconnect is called on the goroutine of an exchange whose caller has
+	// closed its connection before the answer; it may be nil.
+	OnDisconnect func(Disconnect)
 	// MinBodyRate is the minimum rate of an upload in bytes per second. It is
 	// averaged over the time spent waiting for the caller and applies once that
 	// time reaches 10 s. The default is 1024.
@@ -104,6 +107,9 @@
 	// CallerDisconnects counts callers that disconnected before their response
 	// began.
 	CallerDisconnects uint64
+	// UnwatchedExchanges counts exchanges without a watch for a disconnect of the
+	// caller, because no goroutine was free for it.
+	UnwatchedExchanges uint64
 	// DroppedResponses counts responses of a backend server that were dropped
 	// because the caller had disconnected.
 	DroppedResponses uint64
@@ -113,7 +119,7 @@
 }
 
 type counters struct {
-	exchanges, refused, badRequests, truncated, disconnects, dropped atomic.Uint64
+	exchanges, refused, badRequests, truncated, disconnects, dropped, unwatched atomic.Uint64
 }
 
 // Frontend is an HTTP server for callers.
@@ -244,6 +250,7 @@
 		Exchanges: c.exchanges.Load(), RefusedExchanges: c.refused.Load(),
 		BadRequests: c.badRequests.Load(), RefusedConns: f.listener.refusedConns.Load(),
 		TruncatedResponses: c.truncated.Load(), CallerDisconnects: c.disconnects.Load(), DroppedResponses: c.dropped.Load(),
-		InFlight: f.inFlight.Load(), OpenConns: f.listener.openConns.Load(),
+		UnwatchedExchanges: c.unwatched.Load(),
+		InFlight:           f.inFlight.Load(), OpenConns: f.listener.openConns.Load(),
 	}
 }
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -15,7 +15,9 @@
 	rc          *app.RequestContext
 	conn        *callerConn
 	req         *core.Request
-	requestBody *core.Body // nil when the request has none
+	started     time.Time
+	requestBody *core.Body    // nil when the request has none
+	upload      *uploadReader // the source of requestBody
 	callerWatch *disconnectWatch
 	response    *responseWriter
 	// framingValid is set once checkFraming has found the end of the request to
@@ -32,11 +34,11 @@
 	}
 	f.counts.exchanges.Add(1)
 	c.busy.Store(true) // a pipelined request may already have been read
-	x := &exchange{frontend: f, rc: rc, conn: c}
+	x := &exchange{frontend: f, rc: rc, conn: c, started: time.Now()}
 	x.response = newResponseWriter(x)
 	defer f.inFlight.Add(-1)
 	inFlight := f.inFlight.Add(1)
-	req, err := f.cfg.Dialect.ParseHead(copyHead(&rc.Request.Header), time.Now())
+	req, err := f.cfg.Dialect.ParseHead(copyHead(&rc.Request.Header), x.started)
 	x.req = req
 	if framingErr := x.checkFraming(); err == nil {
 		err = framingErr
@@ -62,17 +64,20 @@
 	ctx, cancel := withDeadline(ctx, x.req.Deadline)
 	defer cancel()
 	if x.conn.closedByCaller() {
-		x.dropResponse(nil)
+		x.dropResponse(nil, BeforeServe)
 		return
 	}
 	x.callerWatch = newDisconnectWatch(x.rc.GetConn(), cancel)
 	x.attachBody()
 	resp, err := x.frontend.cfg.Handler.Serve(ctx, x.req)
 	if x.callerWatch.disconnected.Load() {
-		x.dropResponse(resp)
+		x.dropResponse(resp, WhileServed)
 		return
 	}
 	if err != nil {
+		if x.upload != nil && x.upload.cutOff.Load() {
+			x.reportDisconnect(InBody)
+		}
 		x.respondWithFailure(err)
 		return
 	}
@@ -81,8 +86,8 @@
 
 // dropResponse discards resp, which may be nil, because the caller
 // disconnected.
-func (x *exchange) dropResponse(resp *core.Response) {
-	x.frontend.counts.disconnects.Add(1)
+func (x *exchange) dropResponse(resp *core.Response, stage DisconnectStage) {
+	x.reportDisconnect(stage)
 	if resp != nil {
 		x.frontend.counts.dropped.Add(1)
 		_ = resp.Body.Close()
@@ -104,11 +109,11 @@
 		x.frontend.startWatch(x.callerWatch)
 		return
 	}
-	upload := &uploadReader{
+	x.upload = &uploadReader{
 		source: x.rc.RequestBodyStream(), conn: x.rc.GetConn(), caller: x.conn, cfg: &x.frontend.cfg,
 		remaining: x.req.Length, onEOF: func() { x.frontend.startWatch(x.callerWatch) },
 	}
-	x.requestBody = core.NewBody(upload, upload.interrupt)
+	x.requestBody = core.NewBody(x.upload, x.upload.interrupt)
 	x.req.Body = x.requestBody
 }
 
--- a/frontend/watch.go
+++ b/frontend/watch.go
@@ -33,6 +33,7 @@
 	if err := f.watchPool.Submit(w.run); err != nil {
 		// Without a watch only the deadline ends a request whose caller is
 		// gone.
+		f.counts.unwatched.Add(1)
 		w.started.Store(false)
 	}
 }
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -195,10 +195,22 @@
 		return nil, err
 	}
 	resp, err := p.forward(ctx, req)
+	if core.CodeOf(err) == core.CodeAborted {
+		p.logCutBody(slot, req)
+	}
 	p.completeRequest(ctx, slot, resp, err)
 	return resp, err
 }
 
+// logCutBody logs a request that reached the backend server although its body then
+// broke off.
+func (p *Proxy) logCutBody(slot *slotRequest, req *core.Request) {
+	p.cfg.Log.WithFields(log.Fields{
+		"id": req.ID, "body": req.Length, "slot_wait_ms": slot.ticket.WaitTime().Milliseconds(),
+		"left_ms": time.Until(req.Deadline).Milliseconds(),
+	}).Warn("request reached the backend server and its body broke off")
+}
+
 // forward sends an admitted request to the backend server and judges its answer.
 func (p *Proxy) forward(ctx context.Context, req *core.Request) (*core.Response, error) {
 	resp, err := p.gate.Serve(ctx, req)
--- a/sidecar/load.go
+++ b/sidecar/load.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"marjoramshore.example/fleet"
+	"marjoramshore.example/frontend"
 )
 
 const (
@@ -105,6 +106,17 @@
 	l.offered, l.refused, l.expired = counts.Offered, counts.Refused, counts.Expired
 }
 
+// logDisconnect returns a function that logs requests of the given kind of sender
+// which closed its connection before the answer.
+func (n *Node) logDisconnect(sender string) func(frontend.Disconnect) {
+	return func(d frontend.Disconnect) {
+		n.log.WithFields(log.Fields{
+			"id": d.Request.ID, "sender": sender, "noticed": string(d.Stage), "after_ms": d.After.Milliseconds(),
+			"late_ms": d.Request.ReadDelay.Milliseconds(), "body": d.Request.Length, "body_read": d.BodyRead,
+		}).Info("sender closed its connection before its request was answered")
+	}
+}
+
 // percent converts a share for the log.
 const percent = 100
 
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -60,7 +60,12 @@
 		"nodes_known":           func() int64 { return int64(len(n.nodes.Snapshot().Nodes)) },
 		"backend_in_flight":     n.backend.InFlight,
 		"hops_read_late":        n.delays.LateRequests,
-		"uptime_seconds":        newUptimeGauge(),
+		"callers_disconnected":  func() int64 { return int64(n.outbound.Stats().CallerDisconnects) },
+		"nodes_disconnected":    func() int64 { return int64(n.inbound.Stats().CallerDisconnects) },
+		"requests_unwatched": func() int64 {
+			return int64(n.outbound.Stats().UnwatchedExchanges + n.inbound.Stats().UnwatchedExchanges)
+		},
+		"uptime_seconds": newUptimeGauge(),
 	}
 	for name, f := range gauges {
 		if err := telemetry.RegisterGauge(m.registry, name, f); err != nil {
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -354,7 +354,7 @@
 	fields := log.Fields{
 		"id": q.req.ID, "code": e.Code.String(), "detail": e.Detail, "arrived": e.ReachedBackend,
 		"attempt": q.attempts, "arrivals": q.arrivals, "took_ms": time.Since(q.started).Milliseconds(),
-		"held_ms": q.waited.Milliseconds(), "retry_after_ms": e.RetryAfter.Milliseconds(),
+		"held_ms": q.waited.Milliseconds(), "retry_after_ms": e.RetryAfter.Milliseconds(), "body": q.req.Length,
 	}
 	if e.Cause != nil {
 		fields["cause"] = e.Cause.Error()
