gate: close connections on which a request body may be unread

Cause: a connection was kept after an answer when the node had written the whole request. A backend server may refuse an upload before it reads the body, keep the connection and read on later. The next request waited there, held a slot until its caller left, and was begun by the backend server afterwards.

Change: a gate keeps the connection of a request with a body only if the answer shows that the server has read the body. Nodes announce the end of a connection with an unread body themselves, so links keep theirs.

--- a/gate/encode.go
+++ b/gate/encode.go
@@ -88,6 +88,12 @@
 // MayResend implements Dialect. Every response of a backend server is final.
 func (nativeDialect) MayResend(int, http.Header) bool { return false }
 
+// ShowsBodyRead implements Dialect. A backend server may refuse a request by its
+// head alone.
+func (nativeDialect) ShowsBodyRead(status int, _ http.Header) bool {
+	return status < http.StatusBadRequest
+}
+
 // AddRequestFields implements Dialect.
 func (nativeDialect) AddRequestFields(h http.Header, req *core.Request) {
 	setIfPresent := func(name, value string) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -38,6 +38,10 @@
 	// MayResend reports whether the node may send the same request again after
 	// the response to it. The Gate then uses another connection for it.
 	MayResend(status int, h http.Header) bool
+	// ShowsBodyRead reports whether the response shows that the server has read
+	// the body of the request. A server may respond before it has, keep the
+	// connection and read on later; the Gate does not use such a connection again.
+	ShowsBodyRead(status int, h http.Header) bool
 }
 
 // Attribution says whether a response belongs to the request that was sent last
--- a/gate/response.go
+++ b/gate/response.go
@@ -28,6 +28,9 @@
 	if resp.Close || x.unmarked {
 		return false
 	}
+	if x.req.Length != 0 && !x.gate.cfg.Dialect.ShowsBodyRead(resp.StatusCode, resp.Header) {
+		return false
+	}
 	if !x.gate.cfg.Dialect.MayResend(resp.StatusCode, resp.Header) {
 		return true
 	}
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -293,6 +293,10 @@
 // of sending, so it can take the same connection.
 func (outboundDialect) MayResend(int, http.Header) bool { return false }
 
+// ShowsBodyRead implements gate.Dialect. A node that responds before it has read a
+// body announces that it closes the connection.
+func (outboundDialect) ShowsBodyRead(int, http.Header) bool { return true }
+
 // splitResponse returns the failure that another node's response reports, or
 // nil, and the reported usage, or nil when it is missing or malformed. It
 // removes the fields between nodes from resp, which leaves the backend server's
