frontend: notice at the end of a body that the caller has left

Callers saw: nothing; requests of callers that had left were passed on.

Cause: a request that waits long before it is read can have the end of its connection behind its body. The check before the handler looks at the next byte, which is one of the body, and the watch after the body runs on a goroutine of its own, which notices the end only after the request has been passed on.

Change: the goroutine that reads the body looks for the end of the connection when the body ends, and cancels the request before anything else sees its end.

--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -111,12 +111,23 @@
 	}
 	x.upload = &uploadReader{
 		source: x.rc.RequestBodyStream(), conn: x.rc.GetConn(), caller: x.conn, cfg: &x.frontend.cfg,
-		remaining: x.req.Length, onEOF: func() { x.frontend.startWatch(x.callerWatch) },
+		remaining: x.req.Length, onEOF: x.watchAfterBody,
 	}
 	x.requestBody = core.NewBody(x.upload, x.upload.interrupt)
 	x.req.Body = x.requestBody
 }
 
+// watchAfterBody starts the watch at the end of the body, unless the caller has
+// closed the connection already. The watch alone would notice that too late, after
+// the request has been passed on.
+func (x *exchange) watchAfterBody() {
+	if x.rc.GetConn().Len() == 0 && x.conn.closedByCaller() {
+		x.callerWatch.reportClosed()
+		return
+	}
+	x.frontend.startWatch(x.callerWatch)
+}
+
 // respondWithFailure sends the response for err.
 func (x *exchange) respondWithFailure(err error) {
 	e := core.AsError(err)
--- a/frontend/watch.go
+++ b/frontend/watch.go
@@ -45,6 +45,12 @@
 	if err == nil || errors.As(err, &netErr) && netErr.Timeout() {
 		return
 	}
+	w.reportClosed()
+}
+
+// reportClosed records that the caller has closed the connection and cancels its
+// request.
+func (w *disconnectWatch) reportClosed() {
 	w.disconnected.Store(true)
 	w.cancel()
 }
