sidecar/router: read bodies in chunks before passing the request on

Cause: a body of unknown length was streamed. Its request took a slot while the body was on its way, could not be tried at another backend server, and waited for its slot unread: the watch for a caller that leaves begins at the end of the body, so that the head was passed on for callers that had left.

Evidence: TestBodyOfUnknownLengthIsReadBeforeSending and TestCutBodyOfUnknownLengthIsNotSent fail without the change (a refusal was final; a cut body was sent); both pass with it, also with the race detector.

--- a/core/body.go
+++ b/core/body.go
@@ -80,14 +80,33 @@
 	stop := context.AfterFunc(ctx, func() { _ = body.Close() })
 	defer stop()
 	buf := make([]byte, length)
-	_, err := io.ReadFull(body, buf)
-	if err == nil {
-		return buf, nil
+	if _, err := io.ReadFull(body, buf); err != nil {
+		return nil, incompleteBodyError(ctx, err)
 	}
+	return buf, nil
+}
+
+// ReadBodyUpTo reads a body of unknown length into memory before any of it is
+// sent. If the body has more than limit bytes, it returns the first ones, and whole
+// is false. It closes the body if ctx ends first. The code of every error it returns
+// proves that the request did not run.
+func ReadBodyUpTo(ctx context.Context, body io.ReadCloser, limit int64) (data []byte, whole bool, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = body.Close() })
+	defer stop()
+	data, err = io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, false, incompleteBodyError(ctx, err)
+	}
+	return data, int64(len(data)) <= limit, nil
+}
+
+// incompleteBodyError returns the error for a body that could not be read before
+// the request was sent.
+func incompleteBodyError(ctx context.Context, err error) *Error {
 	if ctx.Err() != nil {
-		return nil, ContextErrorBeforeSend(ctx)
+		return ContextErrorBeforeSend(ctx)
 	}
-	return nil, Wrap(CodeCanceledNotRun, err, "request body incomplete; request not sent")
+	return Wrap(CodeCanceledNotRun, err, "request body incomplete; request not sent")
 }
 
 // ContextErrorBeforeSend returns the error for a request whose context ended
--- a/sidecar/router/router.go
+++ b/sidecar/router/router.go
@@ -232,9 +232,12 @@
 	}
 }
 
-// bufferBody reads the body if its length is known and at most maxBufferedBody.
+// bufferBody reads the body if it has at most maxBufferedBody bytes.
 func (q *request) bufferBody(ctx context.Context) *core.Error {
-	if q.req.Length > maxBufferedBody || q.req.Length == core.UnknownLength {
+	if q.req.Length == core.UnknownLength {
+		return q.bufferChunks(ctx)
+	}
+	if q.req.Length > maxBufferedBody {
 		return nil
 	}
 	data, err := core.ReadFullBody(ctx, q.req.Body, q.req.Length)
@@ -245,6 +248,27 @@
 	return nil
 }
 
+// bufferChunks reads a body of unknown length, whose length is known then if it
+// has at most maxBufferedBody bytes.
+func (q *request) bufferChunks(ctx context.Context) *core.Error {
+	data, whole, err := core.ReadBodyUpTo(ctx, q.req.Body, maxBufferedBody)
+	if err != nil {
+		return core.AsError(err)
+	}
+	if whole {
+		q.bufferedBody, q.bodyBuffered, q.req.Length = data, true, int64(len(data))
+		return nil
+	}
+	q.req.Body = &partlyReadBody{io.MultiReader(bytes.NewReader(data), q.req.Body), q.req.Body}
+	return nil
+}
+
+// partlyReadBody is a body of which the first part was read.
+type partlyReadBody struct {
+	io.Reader
+	io.Closer
+}
+
 // recordFailure updates the counts after a failed attempt and describes it to
 // package dispatch.
 func (q *request) recordFailure(e *core.Error) dispatch.FailedAttempt {
--- a/sidecar/router/router_test.go
+++ b/sidecar/router/router_test.go
@@ -264,3 +264,53 @@
 	must.NoError(t, err)
 	must.NoError(t, resp.Body.Close())
 }
+
+// Guards against a request in chunks that is passed on before its body has
+// arrived: it would hold a slot while the body is on its way, could not be tried
+// again, and nothing would notice that its caller leaves while it waits.
+func TestBodyOfUnknownLengthIsReadBeforeSending(t *testing.T) {
+	s := &scriptedSender{answers: []*core.Error{nack(core.CodeOverloaded), nil}}
+	r := newRouter(s, routes.Upload, func(Summary) {})
+	body, writer := io.Pipe()
+	req := newRequest("")
+	req.Length, req.Body, req.Deadline = core.UnknownLength, body, time.Now().Add(time.Second)
+	done := make(chan error, 1)
+	go func() {
+		_, err := r.Serve(t.Context(), req)
+		done <- err
+	}()
+	_, err := io.WriteString(writer, strings.Repeat("x", 100_000))
+	must.NoError(t, err)
+	must.NoError(t, writer.Close())
+	must.NoError(t, <-done)
+	must.Eq(t, []string{strings.Repeat("x", 100_000), strings.Repeat("x", 100_000)}, s.bodies)
+}
+
+// Guards against passing on a request in chunks whose caller left within the body.
+func TestCutBodyOfUnknownLengthIsNotSent(t *testing.T) {
+	s := &scriptedSender{answers: []*core.Error{nil}}
+	r := newRouter(s, routes.Upload, func(Summary) {})
+	body, writer := io.Pipe()
+	req := newRequest("")
+	req.Length, req.Body, req.Deadline = core.UnknownLength, body, time.Now().Add(time.Second)
+	go func() {
+		_, _ = io.WriteString(writer, "part")
+		_ = writer.CloseWithError(io.ErrUnexpectedEOF)
+	}()
+	_, err := r.Serve(t.Context(), req)
+	must.Eq(t, core.CodeCanceledNotRun, core.CodeOf(err))
+	must.SliceEmpty(t, s.nodes)
+}
+
+// Guards against a body that is too long to be kept and reaches the backend server
+// without its first part.
+func TestLongBodyOfUnknownLengthIsStreamedWhole(t *testing.T) {
+	s := &scriptedSender{answers: []*core.Error{nil}}
+	r := newRouter(s, routes.Upload, func(Summary) {})
+	long := strings.Repeat("0123456789", maxBufferedBody/10+100)
+	req := newRequest(long)
+	req.Length, req.Deadline = core.UnknownLength, time.Now().Add(time.Second)
+	_, err := r.Serve(t.Context(), req)
+	must.NoError(t, err)
+	must.Eq(t, []string{long}, s.bodies)
+}
