--- /dev/null
+++ b/sidecar/backend/ratelimit_test.go
@@ -0,0 +1,127 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"marjoramshore.example/clock"
+	"marjoramshore.example/core"
+	"marjoramshore.example/platform"
+	"marjoramshore.example/sidecar/keys"
+)
+
+// statingServer is a backend server whose answers have the field that is set.
+type statingServer struct {
+	field    atomic.Pointer[[2]string] // name and value
+	requests atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (s *statingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.requests.Add(1)
+	_, _ = io.Copy(io.Discard, r.Body)
+	if f := s.field.Load(); f != nil {
+		w.Header().Set(f[0], f[1])
+	}
+	w.Header().Set("X-Marjoramshore-Attempt-Id", r.Header.Get("X-Marjoramshore-Attempt-Id"))
+	w.Header().Set("X-Marjoramshore-Response-Signature", "s")
+}
+
+// startStatingServer returns a backend server with that many slots and the proxy
+// in front of it.
+func startStatingServer(t *testing.T, slots int) (*statingServer, *Proxy) {
+	s := &statingServer{}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, newProxyOf(t, server.Listener.Addr().String(), slots)
+}
+
+func newProxyOf(t *testing.T, address string, slots int) *Proxy {
+	p, err := New(Config{
+		Node: "n", Service: "reports", Address: address, ReportInterval: time.Minute, DrainPeriod: 600 * time.Millisecond,
+		Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default},
+		KeyController: func() *keys.Controller { return nil }, OnRunChange: func(Run) {},
+	})
+	must.NoError(t, err)
+	go p.Run(t.Context())
+	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "reports", Slots: slots, Sequence: 1})
+	must.True(t, ok)
+	return p
+}
+
+// sendOne sends a request and returns its failure, if any.
+func sendOne(ctx context.Context, p *Proxy, id string, priority int) error {
+	req := newRequest(id, 0, strings.NewReader(""))
+	req.Priority, req.TargetTime, req.Deadline = priority, time.Now().Add(300*time.Millisecond), time.Now().Add(time.Second)
+	resp, err := p.Serve(ctx, req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// sendSteadily sends requests from several callers at once for the time given, and
+// returns how many failed with each code.
+func sendSteadily(t *testing.T, p *Proxy, duration time.Duration) map[core.Code]int {
+	ctx, cancel := context.WithTimeout(t.Context(), duration)
+	defer cancel()
+	var mu sync.Mutex
+	failed := make(map[core.Code]int)
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		callers.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				if err := sendOne(t.Context(), p, fmt.Sprint(caller, "-", i), 1); err != nil {
+					mu.Lock()
+					failed[core.CodeOf(err)]++
+					mu.Unlock()
+					time.Sleep(2 * time.Millisecond)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return failed
+}
+
+// allowed returns how many requests a limit allows within a time: one and a half
+// times as many as it names, and five more.
+func allowed(perSecond float64, elapsed time.Duration) int64 {
+	return int64(1.5*perSecond*elapsed.Seconds()) + 5
+}
+
+// Guards against a backend server that names a limit in its answers and gets more
+// requests than that, and against callers who wait for a place until their
+// deadline instead of being refused at once.
+func TestBackendServerGetsNoMoreThanItsLimit(t *testing.T) {
+	const limit = 20
+	s, p := startStatingServer(t, 12)
+	s.field.Store(&[2]string{"Server-Limit", "20.0"})
+	must.NoError(t, sendOne(t.Context(), p, "first", 1))
+	started, before := time.Now(), s.requests.Load()
+	failed := sendSteadily(t, p, 1500*time.Millisecond)
+	elapsed, got := time.Since(started), s.requests.Load()-before
+	must.LessEq(t, allowed(limit, elapsed), got, must.Sprintf("requests in %v; failures: %v", elapsed, failed))
+	must.Positive(t, failed[core.CodeQueueFull])
+	must.Greater(t, int64(limit*elapsed.Seconds()/2), got, must.Sprint("the limit was not used"))
+
+	s.field.Store(nil) // the backend server has recovered
+	for end := time.Now().Add(3 * time.Second); sendOne(t.Context(), p, "ask", 0) != nil; time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(end))
+	}
+	started, before = time.Now(), s.requests.Load()
+	sendSteadily(t, p, 500*time.Millisecond)
+	must.Greater(t, allowed(limit, time.Since(started)), s.requests.Load()-before, must.Sprint("the limit was not lifted"))
+}
