Keep to the limit that a backend server names in its answers

Cause: nothing read Server-Limit.

Change: platform reads the limit. The proxy beside the backend server, which admits all of its requests, starts no more in a second: the queue of slots has permits that accrue at the rate of the limit, for 100 ms at most. More urgent requests go first; estimates leave them the part of the rate that they took before, so that others are refused at once, with a time to come back. An answer without a limit lifts it, unless its request was started before the last answer that named one. Demand and service time, by which keys move and other nodes choose, follow the limit.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -220,7 +220,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := p.forward(ctx, req)
+	resp, err := p.forward(ctx, req, slot)
 	if core.CodeOf(err) == core.CodeAborted {
 		p.logCutBody(slot, req)
 	}
@@ -238,7 +238,7 @@
 }
 
 // forward sends an admitted request to the backend server and judges its answer.
-func (p *Proxy) forward(ctx context.Context, req *core.Request) (*core.Response, error) {
+func (p *Proxy) forward(ctx context.Context, req *core.Request, slot *slotRequest) (*core.Response, error) {
 	resp, err := p.gate.Serve(ctx, req)
 	if err != nil {
 		e := core.AsError(err)
@@ -251,6 +251,7 @@
 		return nil, err
 	}
 	p.recordReportedLoad(resp)
+	slot.statement = readStatement(resp)
 	switch platform.ClassifyResponse(resp) {
 	case platform.Misdirected:
 		_ = resp.Body.Close()
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -43,7 +43,10 @@
 type slotRequest struct {
 	ticket   slotqueue.Ticket
 	sendID   core.SendID // zero if the request cannot be withdrawn
+	instance string      // run of the backend server that the request is meant for
 	decision ring.Reply[*core.Error]
+	// statement is set before the completion of the request is queued.
+	statement statement
 }
 
 // event is an input of the proxy's event loop other than a slotRequest.
@@ -96,6 +99,7 @@
 	failures     dispatch.FailureTracker
 	sends        sendRecords
 	run          Run
+	limit        namedLimit
 	lastSequence int64
 	lastReport   clock.Instant
 	// silent is set while reports of the run are missing.
@@ -121,7 +125,8 @@
 )
 
 // updateDemand updates the moving average of the demand, which is the work that
-// arrived as a share of what the slots can do.
+// arrived as a share of what the slots can do, or of what the backend server's own
+// limit allows if that is less.
 func (st *state) updateDemand() {
 	now := st.now()
 	elapsed := now.Sub(st.demandUpdatedAt)
@@ -130,7 +135,11 @@
 		return
 	}
 	work := float64(st.arrivals) * q.MeanServiceTime.Seconds()
-	demand := min(work/(elapsed.Seconds()*float64(q.Slots)), maxDemand)
+	demand := work / (elapsed.Seconds() * float64(q.Slots))
+	if q.Rate > 0 {
+		demand = max(demand, float64(st.arrivals)/(elapsed.Seconds()*q.Rate))
+	}
+	demand = min(demand, maxDemand)
 	old := math.Float64frombits(st.demandBits.Load())
 	st.demandBits.Store(math.Float64bits(old + demandWeight*(demand-old)))
 	st.arrivals, st.demandUpdatedAt = 0, now
@@ -190,6 +199,10 @@
 func (st *state) publishUsage() {
 	q := st.queue.Stats()
 	u := fleet.Usage{Running: q.Running, Waiting: q.Waiting, MeanServiceTime: q.MeanServiceTime, FailedShare: st.failures.FailedShare(st.now())}
+	if q.Rate > 0 {
+		// Other nodes choose by the rate at which slots become free.
+		u.MeanServiceTime = max(u.MeanServiceTime, time.Duration(float64(q.Slots)/q.Rate*float64(time.Second)))
+	}
 	if *st.usage.Load() != u {
 		st.usage.Store(&u)
 	}
@@ -207,7 +220,7 @@
 	}
 	request := &slotRequest{
 		ticket: slotqueue.Ticket{Class: req.Route, Priority: req.Priority, TargetTime: toInstant(req.TargetTime), Deadline: toInstant(req.Deadline)},
-		sendID: req.SendID, decision: ring.NewReply[*core.Error](),
+		sendID: req.SendID, instance: req.Instance, decision: ring.NewReply[*core.Error](),
 	}
 	request.ticket.CallerData = request
 	if p.requests.Push(ctx, request) != nil {
@@ -275,7 +288,11 @@
 		st.admitAll([]*slotqueue.Ticket{&request.ticket})
 	case slotqueue.Refuse:
 		st.counts.refused.Add(1)
-		request.decision.Send(&core.Error{Code: decision.Code, Detail: "no slot of the backend server becomes free in time", RetryAfter: decision.RetryAfter})
+		detail := "no slot of the backend server becomes free in time"
+		if st.limit.perSecond > 0 {
+			detail = "the limit that the backend server names, or its slots, leave no room in time"
+		}
+		request.decision.Send(&core.Error{Code: decision.Code, Detail: detail, RetryAfter: decision.RetryAfter})
 	}
 }
 
@@ -312,6 +329,7 @@
 }
 
 func (m completion) apply(st *state) {
+	st.applyStatement(m.request)
 	st.admitAll(st.queue.Done(st.now(), &m.request.ticket, m.err == nil))
 	startedLate := m.err != nil && m.err.Code == core.CodeDeadline && m.request.ticket.RunTime(st.now()) < hungFactor*st.queue.Stats().MeanServiceTime
 	st.failures.Record(st.now(), m.backendFailed && !startedLate)
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -97,6 +97,7 @@
 	if c := st.cfg.KeyController(); c != nil && former != shards.NoHolder {
 		c.EndRun(former)
 	}
+	st.forgetLimit()
 	st.run = Run{Holder: h, Ready: true, Slots: r.Slots}
 	st.runAdded = false
 	st.sendDeadline.Store(0)
--- a/slotqueue/queue.go
+++ b/slotqueue/queue.go
@@ -53,6 +53,8 @@
 // Stats is a snapshot of a queue for status reports and metrics.
 type Stats struct {
 	Slots, Running, Waiting int
+	// Rate is the limit of tickets that start in a second, or 0 for none.
+	Rate float64
 	// MeanServiceTime is the moving average over all classes.
 	MeanServiceTime time.Duration
 }
@@ -80,6 +82,7 @@
 	serviceTimes    map[string]time.Duration // moving average for each class
 	meanServiceTime time.Duration            // moving average over all classes
 	offered         uint64                   // tickets numbered so far
+	rate            rateLimit
 }
 
 // New returns a closed queue without slots. It refuses all tickets until Resize
@@ -104,7 +107,7 @@
 }
 
 func (q *Queue) Stats() Stats {
-	return Stats{Slots: q.slots, Running: len(q.running), Waiting: len(q.waiting), MeanServiceTime: q.meanServiceTime}
+	return Stats{Slots: q.slots, Running: len(q.running), Waiting: len(q.waiting), Rate: q.rate.perSecond, MeanServiceTime: q.meanServiceTime}
 }
 
 // estimateServiceTime returns the average service time of a class, or of all
@@ -124,7 +127,8 @@
 	t.arrivedAt = now
 	q.offered++
 	t.arrivalOrder = q.offered
-	if len(q.running) < q.slots && len(q.waiting) == 0 {
+	q.rate.countOffer(now, t.Priority)
+	if len(q.running) < q.slots && len(q.waiting) == 0 && q.rate.take(now) {
 		q.start(now, t)
 		return Decision{Verdict: Admit}
 	}
@@ -181,7 +185,8 @@
 }
 
 // expectedWait estimates the wait of a ticket: the remaining work of the
-// tickets before it, divided by the number of slots. On average, half of a
+// tickets before it, divided by the number of slots, or the time until the rate
+// limit lets it start if that is longer. On average, half of a
 // running request is done. One that has run for longer than its estimate, as on
 // a backend server that hangs, is expected to run for half of that time again.
 func (q *Queue) expectedWait(now clock.Instant, t *Ticket) time.Duration {
@@ -189,13 +194,15 @@
 	for r := range q.running {
 		work += max(q.estimateServiceTime(r.Class), r.RunTime(now)) / 2
 	}
+	ahead := 0
 	for _, w := range q.waiting {
 		if compareTickets(w, t) > 0 {
 			break
 		}
 		work += q.estimateServiceTime(w.Class)
+		ahead++
 	}
-	return work / time.Duration(q.slots)
+	return max(work/time.Duration(q.slots), q.rate.wait(now, ahead, t.Priority))
 }
 
 // start gives t a slot.
@@ -234,7 +241,7 @@
 // startWaiting starts waiting tickets while slots are free, and returns them.
 func (q *Queue) startWaiting(now clock.Instant) []*Ticket {
 	var started []*Ticket
-	for len(q.running) < q.slots && len(q.waiting) > 0 {
+	for len(q.running) < q.slots && len(q.waiting) > 0 && q.rate.take(now) {
 		t := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		q.start(now, t)
@@ -254,12 +261,14 @@
 }
 
 // Expire removes and returns the waiting tickets whose time to the deadline is
-// less than half of their estimated service time. It also returns the tickets
-// that start because the number of slots grew.
+// less than half of their estimated service time, after the time until the rate
+// limit lets them start. It also returns the tickets that start because the number
+// of slots grew or the rate limit allows it.
 func (q *Queue) Expire(now clock.Instant) (refused, started []*Ticket) {
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
-		if t.Deadline != 0 && now.Add(q.estimateServiceTime(t.Class)/2).After(t.Deadline) {
+		wait := q.rate.wait(now, len(kept), t.Priority)
+		if t.Deadline != 0 && now.Add(wait+q.estimateServiceTime(t.Class)/2).After(t.Deadline) {
 			refused = append(refused, t)
 			continue
 		}
@@ -277,6 +286,9 @@
 	return out
 }
 
+// StartedAt returns when a started ticket got its slot.
+func (t *Ticket) StartedAt() clock.Instant { return t.startedAt }
+
 // WaitTime returns how long a started ticket waited in the queue.
 func (t *Ticket) WaitTime() time.Duration { return t.startedAt.Sub(t.arrivedAt) }
 
