Tell a restarted node the limits that the other nodes know

Cause: the limit was known to the process beside the backend server alone.

Change: a node keeps the limit of the last answer that came over a link, beyond restarts of the other node, and names it with each request to that run. A process adopts it until the run has answered one of its own requests.

TestNodesTellTheLimitThatTheyKnow covers the sender.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -88,6 +88,10 @@
 	// SendID identifies the sending of the request from one node to another. It
 	// is zero if the request entered here and was not sent on, or may run twice.
 	SendID SendID
+	// RateLimit is the number of requests a second that the expected run of the
+	// backend server takes as far as the sending node knows, or 0 if it knows of no
+	// limit.
+	RateLimit float64
 	// SendMark names the sending of the request by another node, which expects it
 	// in the response, or is empty.
 	SendMark string
--- a/peers/hop.go
+++ b/peers/hop.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -34,6 +35,9 @@
 	// request entered.
 	hopOrigin  = "Marjoram-Hop-Origin"
 	hopAttempt = "Marjoram-Hop-Attempt"
+	// hopRateLimit is the limit of requests a second that the backend server named
+	// in its last answer to the sender; it is missing if that named none.
+	hopRateLimit = "Marjoram-Hop-Rate-Limit"
 	// hopCode is the number of the core.Code of a failure; only failures have
 	// it.
 	hopCode       = "Marjoram-Hop-Code"
@@ -161,6 +165,8 @@
 		req.Idempotent = f.Value == "1"
 	case hopInstance:
 		req.Instance = f.Value
+	case hopRateLimit:
+		req.RateLimit = decodeRateLimit(f.Value)
 	case hopOrigin:
 		req.Origin = core.Service(f.Value)
 	case hopPriority:
@@ -259,6 +265,9 @@
 	if req.Idempotent {
 		setField(hopIdempotent, "1")
 	}
+	if req.RateLimit > 0 {
+		setField(hopRateLimit, strconv.FormatFloat(req.RateLimit, 'g', -1, 64))
+	}
 	if !req.SendID.IsZero() {
 		setField(hopNumber, strconv.FormatUint(req.SendID.Number, 10))
 	}
@@ -350,6 +359,16 @@
 	return time.Duration(n) * time.Microsecond
 }
 
+// decodeRateLimit decodes the value of hopRateLimit. A malformed one counts as 0,
+// which is no limit.
+func decodeRateLimit(text string) float64 {
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
+		return 0
+	}
+	return limit
+}
+
 // oldLoadValues is the number of values in hopLoad of a build that does not
 // measure its link.
 const oldLoadValues = 4
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -43,7 +43,7 @@
 func newRequest(now time.Time) *core.Request {
 	return &core.Request{
 		ID: "id-1", Service: "prices", Key: "77", Route: "look", Idempotent: true, Priority: 2, Attempt: 1,
-		SendID: core.SendID{Sender: newSender().Incarnation, Number: 9}, Instance: "i-1", Origin: "reports", Deadline: now.Add(2 * time.Second), TargetTime: now.Add(time.Second),
+		SendID: core.SendID{Sender: newSender().Incarnation, Number: 9}, Instance: "i-1", Origin: "reports", RateLimit: 19.4, Deadline: now.Add(2 * time.Second), TargetTime: now.Add(time.Second),
 		Method: "GET", Path: "/a/1?x=%2F", Body: core.NoBody,
 		Header: []core.Field{{Name: "Host", Value: "h.example"}, {Name: "X-Other", Value: "kept"}, {Name: hopCode, Value: "1"}},
 	}
@@ -71,6 +71,7 @@
 	must.Eq(t, []any{want.ID, want.Service, want.Key, want.Route, true, 2, 1, "i-1", want.Origin, want.Method, want.Path},
 		[]any{got.ID, got.Service, got.Key, got.Route, got.Idempotent, got.Priority, got.Attempt, got.Instance, got.Origin, got.Method, got.Path})
 	must.Eq(t, want.SendID, got.SendID)
+	must.Eq(t, want.RateLimit, got.RateLimit)
 	must.SliceContains(t, got.Header, core.Field{Name: "X-Other", Value: "kept"})
 	must.Between(t, -100*time.Millisecond, got.Deadline.Sub(want.Deadline), 100*time.Millisecond)
 	must.Between(t, -100*time.Millisecond, got.TargetTime.Sub(want.TargetTime), 100*time.Millisecond)
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -251,7 +251,8 @@
 		return nil, err
 	}
 	p.recordReportedLoad(resp)
-	slot.statement = readStatement(resp)
+	statement := platform.ParseStatement(resp)
+	slot.statement = &statement
 	switch platform.ClassifyResponse(resp) {
 	case platform.Misdirected:
 		_ = resp.Body.Close()
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -45,8 +45,11 @@
 	sendID   core.SendID // zero if the request cannot be withdrawn
 	instance string      // run of the backend server that the request is meant for
 	decision ring.Reply[*core.Error]
-	// statement is set before the completion of the request is queued.
-	statement statement
+	// rateLimit is the limit of the run that the sending node knows of, or 0.
+	rateLimit float64
+	// statement is what the answer says of the run. It is set before the completion
+	// of the request is queued, and nil without an answer.
+	statement *platform.Statement
 }
 
 // event is an input of the proxy's event loop other than a slotRequest.
@@ -220,7 +223,7 @@
 	}
 	request := &slotRequest{
 		ticket: slotqueue.Ticket{Class: req.Route, Priority: req.Priority, TargetTime: toInstant(req.TargetTime), Deadline: toInstant(req.Deadline)},
-		sendID: req.SendID, instance: req.Instance, decision: ring.NewReply[*core.Error](),
+		sendID: req.SendID, instance: req.Instance, rateLimit: req.RateLimit, decision: ring.NewReply[*core.Error](),
 	}
 	request.ticket.CallerData = request
 	if p.requests.Push(ctx, request) != nil {
@@ -282,6 +285,7 @@
 func (st *state) offerRequest(request *slotRequest) {
 	st.arrivals++
 	st.counts.offered.Add(1)
+	st.adoptLimit(request)
 	decision := st.queue.Offer(st.now(), &request.ticket)
 	switch decision.Verdict {
 	case slotqueue.Admit:
--- a/sidecar/backend/ratelimit_test.go
+++ b/sidecar/backend/ratelimit_test.go
@@ -24,7 +24,9 @@
 
 // statingServer is a backend server whose answers have the field that is set.
 type statingServer struct {
+	address  string
 	field    atomic.Pointer[[2]string] // name and value
+	held     atomic.Pointer[chan struct{}]
 	requests atomic.Int64
 }
 
@@ -32,6 +34,9 @@
 func (s *statingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.requests.Add(1)
 	_, _ = io.Copy(io.Discard, r.Body)
+	if held := s.held.Load(); held != nil {
+		<-*held
+	}
 	if f := s.field.Load(); f != nil {
 		w.Header().Set(f[0], f[1])
 	}
@@ -45,7 +50,8 @@
 	s := &statingServer{}
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	return s, newProxyOf(t, server.Listener.Addr().String(), slots)
+	s.address = server.Listener.Addr().String()
+	return s, newProxyOf(t, s.address, slots)
 }
 
 func newProxyOf(t *testing.T, address string, slots int) *Proxy {
@@ -125,3 +131,31 @@
 	sendSteadily(t, p, 500*time.Millisecond)
 	must.Greater(t, allowed(limit, time.Since(started)), s.requests.Load()-before, must.Sprint("the limit was not lifted"))
 }
+
+// Guards against a node that starts beside a backend server in need and passes on
+// all that the other nodes send, until the first answer tells of the limit.
+func TestStartedNodeKeepsToTheLimitThatOthersKnow(t *testing.T) {
+	const limit, slots = 10, 60
+	s, _ := startStatingServer(t, slots)
+	answer := make(chan struct{})
+	var sent sync.WaitGroup
+	defer func() {
+		close(answer)
+		sent.Wait()
+	}()
+	s.held.Store(&answer)
+	s.field.Store(&[2]string{"Server-Limit", "10"})
+	restarted := newProxyOf(t, s.address, slots)
+	started := time.Now()
+	for i := range slots {
+		sent.Go(func() {
+			req := newRequest(fmt.Sprint(i), 0, strings.NewReader(""))
+			req.RateLimit, req.Deadline = limit, time.Now().Add(300*time.Millisecond)
+			if resp, err := restarted.Serve(t.Context(), req); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	time.Sleep(250 * time.Millisecond)
+	must.LessEq(t, allowed(limit, time.Since(started)), s.requests.Load())
+}
--- a/sidecar/backend/statement.go
+++ b/sidecar/backend/statement.go
@@ -4,35 +4,14 @@
 	"github.com/apex/log"
 
 	"marjoramshore.example/clock"
-	"marjoramshore.example/core"
-	"marjoramshore.example/platform"
 	"marjoramshore.example/shards"
 )
 
-// statement is what an answer of the backend server says about the server itself.
-// It is about the moment at which the answer was made.
-type statement struct {
-	// made is false if there was no answer.
-	made bool
-	// rateLimit is the number of requests that the backend server takes in a
-	// second, or 0 if it names no limit.
-	rateLimit float64
-	// malformed is set if the answer names a limit that is no positive number.
-	malformed bool
-}
-
-// readStatement returns the statement of an answer.
-func readStatement(resp *core.Response) statement {
-	s := statement{made: true}
-	var ok bool
-	s.rateLimit, ok = platform.ParseRateLimit(resp)
-	s.malformed = !ok
-	return s
-}
-
 // namedLimit is the limit in force of the present run.
 type namedLimit struct {
 	perSecond float64 // 0 for none
+	// heard is set once the run has answered a request of this process.
+	heard bool
 	// namedAt is the instant of the last answer that named a limit.
 	namedAt clock.Instant
 }
@@ -42,18 +21,29 @@
 // only if its request was started after the last answer that named one.
 func (st *state) applyStatement(r *slotRequest) {
 	s := r.statement
-	if !s.made || s.malformed || r.instance != st.run.Holder.Instance {
+	if s == nil || s.Malformed || r.instance != st.run.Holder.Instance {
 		return
 	}
+	st.limit.heard = true
 	switch {
-	case s.rateLimit > 0:
+	case s.RateLimit > 0:
 		st.limit.namedAt = st.now()
-		st.setRateLimit(s.rateLimit)
+		st.setRateLimit(s.RateLimit)
 	case st.limit.perSecond > 0 && r.ticket.StartedAt().After(st.limit.namedAt):
 		st.setRateLimit(0)
 	}
 }
 
+// adoptLimit takes over the limit that another node knows of, until the run has
+// answered a request of this process: a process that starts beside a run in need
+// knows of no limit, and the other nodes keep sending.
+func (st *state) adoptLimit(r *slotRequest) {
+	if r.rateLimit > 0 && !st.limit.heard && st.limit.perSecond == 0 && r.instance == st.run.Holder.Instance {
+		st.limit.namedAt = st.now()
+		st.setRateLimit(r.rateLimit)
+	}
+}
+
 // setRateLimit bounds the requests that the present run gets in a second. 0 lifts
 // the limit.
 func (st *state) setRateLimit(perSecond float64) {
--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -11,6 +11,7 @@
 	"marjoramshore.example/core"
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/peers"
+	"marjoramshore.example/platform"
 )
 
 // peerLinks sends requests to other nodes over one link for each, and requests
@@ -27,6 +28,32 @@
 	// incarnation is the node's incarnation to which the connections lead, or 0
 	// before it is known.
 	incarnation atomic.Uint64
+	// statement is what the backend server said of itself in the last answer that
+	// came over the link. It outlives processes of the other node.
+	statement atomic.Pointer[serverStatement]
+}
+
+// serverStatement is a statement of one run of a backend server.
+type serverStatement struct {
+	platform.Statement
+	instance string
+}
+
+// knownStatement returns the last statement of a run.
+func (l *peerLink) knownStatement(instance string) serverStatement {
+	if s := l.statement.Load(); s != nil && s.instance == instance {
+		return *s
+	}
+	return serverStatement{instance: instance}
+}
+
+// recordStatement notes what an answer of a run says.
+func (l *peerLink) recordStatement(instance string, resp *core.Response) {
+	known, s := l.knownStatement(instance), platform.ParseStatement(resp)
+	if s.Malformed || s == known.Statement {
+		return
+	}
+	l.statement.Store(&serverStatement{s, instance})
 }
 
 // setIncarnation closes the connections to a former incarnation of the node.
@@ -56,11 +83,15 @@
 	if !req.Idempotent {
 		req.SendID = core.SendID{Sender: l.node.self.Incarnation, Number: l.lastNumber.Add(1)}
 	}
+	req.RateLimit = link.knownStatement(req.Instance).RateLimit
 	sentAt := l.node.clock.Now()
 	resp, err := link.Send(ctx, l.node.clock, req, p.Load)
 	if err != nil && l.withdraw(ctx, p, req, sentAt, core.AsError(err)) {
 		return nil, core.Wrap(core.CodePeerUnreachable, err, "the connection to the node failed before the node passed the request on; the node will refuse it")
 	}
+	if err == nil {
+		link.recordStatement(req.Instance, resp)
+	}
 	return resp, err
 }
 
--- a/sidecar/links_test.go
+++ b/sidecar/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +19,7 @@
 	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
 	"marjoramshore.example/fleet"
+	"marjoramshore.example/frontend"
 	"marjoramshore.example/peers"
 	"marjoramshore.example/platform"
 	"marjoramshore.example/sidecar/backend"
@@ -124,3 +126,51 @@
 	calls.Close()
 	must.Eq(t, core.CodeUnknown, send(), must.Sprint("the call fails"))
 }
+
+// Guards against a limit that is forgotten when the node beside the backend server
+// starts again: the other nodes do not tell it, or tell it of another run.
+func TestNodesTellTheLimitThatTheyKnow(t *testing.T) {
+	var told atomic.Pointer[core.Request]
+	var limit atomic.Pointer[string]
+	f, err := frontend.New(frontend.Config{
+		Addr: "127.0.0.1:0", Dialect: peers.InboundDialect{LoadSource: noLoad{}},
+		Handler: core.HandlerFunc(func(_ context.Context, req *core.Request) (*core.Response, error) {
+			told.Store(req)
+			resp := &core.Response{Status: 200, Body: core.NoBody}
+			if value := limit.Load(); value != nil {
+				resp.Header = []core.Field{{Name: "Server-Limit", Value: *value}}
+			}
+			return resp, nil
+		})})
+	must.NoError(t, err)
+	f.Start()
+	defer f.Close()
+	sender := &Node{self: fleet.Entry{Node: "a", Incarnation: 7}, clock: clock.NewReal(), log: &log.Logger{Handler: discard.Default}}
+	sender.peerLinks = newPeerLinks(sender)
+	peer := &fleet.Peer{Alive: true, Load: &fleet.Load{}, Entry: fleet.Entry{Node: "b", Incarnation: 8, InboundAddress: f.Addr()}}
+	send := func(instance string, names string) float64 {
+		limit.Store(nil)
+		if names != "" {
+			limit.Store(&names)
+		}
+		req := newHop()
+		req.Instance = instance
+		resp, err := sender.peerLinks.Send(t.Context(), peer, req)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		return told.Load().RateLimit
+	}
+	must.Eq(t, 0, send("i-1", "12.5"))
+	peer.Incarnation = 9 // the node starts again
+	must.Eq(t, 12.5, send("i-1", "-3"))
+	must.Eq(t, 12.5, send("i-1", "8"), must.Sprint("a malformed limit changes nothing"))
+	must.Eq(t, 8, send("i-1", ""))
+	must.Eq(t, 0, send("i-1", "9"))
+	must.Eq(t, 0, send("i-2", ""), must.Sprint("the limit is that of another run"))
+}
+
+// noLoad reports an idle backend server.
+type noLoad struct{}
+
+// Load implements peers.LoadSource.
+func (noLoad) Load() fleet.Usage { return fleet.Usage{} }
