sidecar/backend: drain a backend server that says in its answers that it leaves

Callers saw: nothing; requests reach a backend server later than its drain allows, where its status reports come late or not at all (DRAIN).

Cause: only status reports began a drain. The answers say it too (Server-Leaving), and bind in the same way.

Change: an answer that says so begins the drain of its run, and its keys move.

Evidence: TestServerThatSaysItLeavesGetsNoRequestsAfterItsDrain fails without the change and passes with it.

--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 
@@ -115,14 +116,18 @@
 	st.notifyRunChange()
 }
 
+// SendPeriod returns how long requests may be sent to a run within a drain period.
+func SendPeriod(drain time.Duration) time.Duration { return max(0, drain-drainMargin) }
+
 // beginDrain begins the drain of the present run. The drain period counts from
-// the acknowledgement of the report or call, which is sent in the same step.
+// the acknowledgement of the report or call, which is sent in the same step, or
+// from an answer in which the run says that it leaves.
 func (st *state) beginDrain(reason string) {
 	if st.run.Leaving {
 		return
 	}
 	st.run.Leaving, st.run.Ready = true, false
-	st.sendDeadline.Store(int64(st.now().Add(max(0, st.cfg.DrainPeriod-drainMargin))))
+	st.sendDeadline.Store(int64(st.now().Add(SendPeriod(st.cfg.DrainPeriod))))
 	st.cfg.Log.WithFields(log.Fields{"instance": st.run.Holder.Instance, "reason": reason}).Info("backend server is leaving; its drain begins")
 	st.notifyRunChange()
 }
--- a/sidecar/backend/statement.go
+++ b/sidecar/backend/statement.go
@@ -21,7 +21,16 @@
 // only if its request was started after the last answer that named one.
 func (st *state) applyStatement(r *slotRequest) {
 	s := r.statement
-	if s == nil || s.Malformed || r.instance != st.run.Holder.Instance {
+	if s == nil || r.instance != st.run.Holder.Instance {
+		return
+	}
+	if s.Leaving && !st.run.Leaving {
+		st.beginDrain("it says so in its answers")
+		if c := st.cfg.KeyController(); c != nil {
+			c.MarkLeaving(st.run.Holder)
+		}
+	}
+	if s.Malformed {
 		return
 	}
 	st.limit.heard = true
--- a/sidecar/backend/ratelimit_test.go
+++ b/sidecar/backend/statement_test.go
@@ -159,3 +159,20 @@
 	time.Sleep(250 * time.Millisecond)
 	must.LessEq(t, allowed(limit, time.Since(started)), s.requests.Load())
 }
+
+// Guards against requests to a backend server that says only in its answers that it
+// leaves, later than its drain.
+func TestServerThatSaysItLeavesGetsNoRequestsAfterItsDrain(t *testing.T) {
+	s, p := startStatingServer(t, 12)
+	s.field.Store(&[2]string{"Server-Leaving", "1"})
+	must.NoError(t, sendOne(t.Context(), p, "first", 1))
+	told := time.Now()
+	for end := told.Add(p.cfg.DrainPeriod); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		_ = sendOne(t.Context(), p, "within", 1)
+	}
+	before := s.requests.Load()
+	for range 20 {
+		must.Error(t, sendOne(t.Context(), p, "late", 1))
+	}
+	must.Eq(t, before, s.requests.Load())
+}
