sidecar: keep to the drain of a run that has said that it leaves

Callers saw: nothing; a node that starts again beside a backend server that leaves does not know it, and passes on what the other nodes send (DRAIN binds the nodes where the requests began, in touch or not).

Cause: what an answer says was known to the process beside the backend server alone.

Change: a node remembers with the last statement of a run when it first said that it leaves, and sends it nothing once its drain is over. A later run of the same instance is another run.

Evidence: TestNodesSendNothingAfterTheDrainThatTheyKnow, which the sender fails without the check.

--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -12,6 +12,7 @@
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/peers"
 	"marjoramshore.example/platform"
+	"marjoramshore.example/sidecar/backend"
 )
 
 // peerLinks sends requests to other nodes over one link for each, and requests
@@ -33,27 +34,44 @@
 	statement atomic.Pointer[serverStatement]
 }
 
+// serverRun identifies a run of a backend server. One may start again under the
+// instance that it had.
+type serverRun struct {
+	instance   string
+	bornUnixMs int64
+}
+
 // serverStatement is a statement of one run of a backend server.
 type serverStatement struct {
 	platform.Statement
-	instance string
+	run serverRun
+	// leavingSince is the instant of the first answer in which the run said that
+	// it leaves.
+	leavingSince clock.Instant
 }
 
 // knownStatement returns the last statement of a run.
-func (l *peerLink) knownStatement(instance string) serverStatement {
-	if s := l.statement.Load(); s != nil && s.instance == instance {
+func (l *peerLink) knownStatement(run serverRun) serverStatement {
+	if s := l.statement.Load(); s != nil && s.run == run {
 		return *s
 	}
-	return serverStatement{instance: instance}
+	return serverStatement{run: run}
 }
 
-// recordStatement notes what an answer of a run says.
-func (l *peerLink) recordStatement(instance string, resp *core.Response) {
-	known, s := l.knownStatement(instance), platform.ParseStatement(resp)
-	if s.Malformed || s == known.Statement {
-		return
+// recordStatement notes what an answer of a run says. A run that leaves does not
+// return, so that an answer made before does not change that.
+func (l *peerLink) recordStatement(now clock.Instant, run serverRun, resp *core.Response) {
+	known := l.knownStatement(run)
+	next, said := known, platform.ParseStatement(resp)
+	if !said.Malformed {
+		next.RateLimit = said.RateLimit
+	}
+	if said.Leaving && !known.Leaving {
+		next.Leaving, next.leavingSince = true, now
+	}
+	if next != known {
+		l.statement.Store(&next)
 	}
-	l.statement.Store(&serverStatement{s, instance})
 }
 
 // setIncarnation closes the connections to a former incarnation of the node.
@@ -83,14 +101,19 @@
 	if !req.Idempotent {
 		req.SendID = core.SendID{Sender: l.node.self.Incarnation, Number: l.lastNumber.Add(1)}
 	}
-	req.RateLimit = link.knownStatement(req.Instance).RateLimit
 	sentAt := l.node.clock.Now()
+	run := serverRun{req.Instance, p.BornUnixMs}
+	known := link.knownStatement(run)
+	if known.Leaving && sentAt.Sub(known.leavingSince) >= backend.SendPeriod(l.node.cfg.Settings.Bounds.DrainPeriod) {
+		return nil, core.Fail(core.CodeDraining, "the backend server has said that it leaves; its drain is over")
+	}
+	req.RateLimit = known.RateLimit
 	resp, err := link.Send(ctx, l.node.clock, req, p.Load)
 	if err != nil && l.withdraw(ctx, p, req, sentAt, core.AsError(err)) {
 		return nil, core.Wrap(core.CodePeerUnreachable, err, "the connection to the node failed before the node passed the request on; the node will refuse it")
 	}
 	if err == nil {
-		link.recordStatement(req.Instance, resp)
+		link.recordStatement(l.node.clock.Now(), run, resp)
 	}
 	return resp, err
 }
--- a/sidecar/links_test.go
+++ b/sidecar/links_test.go
@@ -127,46 +127,83 @@
 	must.Eq(t, core.CodeUnknown, send(), must.Sprint("the call fails"))
 }
 
-// Guards against a limit that is forgotten when the node beside the backend server
-// starts again: the other nodes do not tell it, or tell it of another run.
-func TestNodesTellTheLimitThatTheyKnow(t *testing.T) {
-	var told atomic.Pointer[core.Request]
-	var limit atomic.Pointer[string]
+// statingNode is a node whose backend server names the field that is set in its
+// answers, and the link of another node to it.
+type statingNode struct {
+	t      *testing.T
+	field  atomic.Pointer[core.Field]
+	got    atomic.Pointer[core.Request] // last request
+	sender *Node
+	peer   *fleet.Peer
+}
+
+func startStatingNode(t *testing.T) *statingNode {
+	s := &statingNode{t: t}
 	f, err := frontend.New(frontend.Config{
 		Addr: "127.0.0.1:0", Dialect: peers.InboundDialect{LoadSource: noLoad{}},
 		Handler: core.HandlerFunc(func(_ context.Context, req *core.Request) (*core.Response, error) {
-			told.Store(req)
+			s.got.Store(req)
 			resp := &core.Response{Status: 200, Body: core.NoBody}
-			if value := limit.Load(); value != nil {
-				resp.Header = []core.Field{{Name: "Server-Limit", Value: *value}}
+			if field := s.field.Load(); field != nil {
+				resp.Header = []core.Field{*field}
 			}
 			return resp, nil
 		})})
 	must.NoError(t, err)
 	f.Start()
-	defer f.Close()
-	sender := &Node{self: fleet.Entry{Node: "a", Incarnation: 7}, clock: clock.NewReal(), log: &log.Logger{Handler: discard.Default}}
-	sender.peerLinks = newPeerLinks(sender)
-	peer := &fleet.Peer{Alive: true, Load: &fleet.Load{}, Entry: fleet.Entry{Node: "b", Incarnation: 8, InboundAddress: f.Addr()}}
-	send := func(instance string, names string) float64 {
-		limit.Store(nil)
-		if names != "" {
-			limit.Store(&names)
-		}
-		req := newHop()
-		req.Instance = instance
-		resp, err := sender.peerLinks.Send(t.Context(), peer, req)
-		must.NoError(t, err)
-		must.NoError(t, resp.Body.Close())
-		return told.Load().RateLimit
+	t.Cleanup(func() { _ = f.Close() })
+	s.sender = &Node{self: fleet.Entry{Node: "a", Incarnation: 7}, clock: clock.NewReal(), log: &log.Logger{Handler: discard.Default}}
+	s.sender.cfg.Settings.Bounds.DrainPeriod = 500 * time.Millisecond
+	s.sender.peerLinks = newPeerLinks(s.sender)
+	s.peer = &fleet.Peer{Alive: true, Load: &fleet.Load{}, Entry: fleet.Entry{Node: "b", Incarnation: 8, InboundAddress: f.Addr()}}
+	return s
+}
+
+// send sends a request to a run whose answer has the field, and returns the failure
+// if there is one. An empty value leaves the field out.
+func (s *statingNode) send(instance, name, value string) error {
+	s.field.Store(nil)
+	if value != "" {
+		s.field.Store(&core.Field{Name: name, Value: value})
 	}
-	must.Eq(t, 0, send("i-1", "12.5"))
-	peer.Incarnation = 9 // the node starts again
-	must.Eq(t, 12.5, send("i-1", "-3"))
-	must.Eq(t, 12.5, send("i-1", "8"), must.Sprint("a malformed limit changes nothing"))
-	must.Eq(t, 8, send("i-1", ""))
-	must.Eq(t, 0, send("i-1", "9"))
-	must.Eq(t, 0, send("i-2", ""), must.Sprint("the limit is that of another run"))
+	req := newHop()
+	req.Instance = instance
+	resp, err := s.sender.peerLinks.Send(s.t.Context(), s.peer, req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Guards against a limit that is forgotten when the node beside the backend server
+// starts again: the other nodes do not tell it, or tell it of another run.
+func TestNodesTellTheLimitThatTheyKnow(t *testing.T) {
+	s := startStatingNode(t)
+	told := func(instance, names string) float64 {
+		must.NoError(t, s.send(instance, "Server-Limit", names))
+		return s.got.Load().RateLimit
+	}
+	must.Eq(t, 0, told("i-1", "12.5"))
+	s.peer.Incarnation = 9 // the node starts again
+	must.Eq(t, 12.5, told("i-1", "-3"))
+	must.Eq(t, 12.5, told("i-1", "8"), must.Sprint("a malformed limit changes nothing"))
+	must.Eq(t, 8, told("i-1", ""))
+	must.Eq(t, 0, told("i-1", "9"))
+	must.Eq(t, 0, told("i-2", ""), must.Sprint("the limit is that of another run"))
+}
+
+// Guards against requests to a backend server that has said that it leaves, later
+// than its drain, through a node that has started again and does not know it.
+func TestNodesSendNothingAfterTheDrainThatTheyKnow(t *testing.T) {
+	s := startStatingNode(t)
+	must.NoError(t, s.send("i-1", "Server-Leaving", "1"))
+	must.NoError(t, s.send("i-1", "Server-Leaving", ""), must.Sprint("within the drain"))
+	s.peer.Incarnation = 9
+	time.Sleep(s.sender.cfg.Settings.Bounds.DrainPeriod)
+	must.Eq(t, core.CodeDraining, core.CodeOf(s.send("i-1", "", "")))
+	must.NoError(t, s.send("i-2", "", ""), must.Sprint("the next instance"))
+	s.peer.BornUnixMs = 5
+	must.NoError(t, s.send("i-1", "", ""), must.Sprint("a later run of the same instance"))
 }
 
 // noLoad reports an idle backend server.
