--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -129,9 +129,12 @@
 // otherwise.
 const slowTransfer = 250 * time.Millisecond
 
-// logSlowCall logs a read of the store that took long after the head of its
-// response had arrived, or that broke off then.
-func (n *Node) logSlowCall(c platform.CallStats) {
+// logStoreCall logs a read of the store that took long after the head of its
+// response had arrived, that broke off then, or that left entries out.
+func (n *Node) logStoreCall(c platform.CallStats) {
+	if c.Skipped > 0 {
+		n.log.WithFields(log.Fields{"path": c.Path, "watch": c.IsWatch, "entries": c.Skipped}).Warn("entries in the platform's store ignored: they are no objects")
+	}
 	brokenOff := c.Err != nil && c.Status == http.StatusOK
 	if c.Transfer < slowTransfer && !brokenOff {
 		return
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -124,8 +124,8 @@
 		}),
 		metrics: newNodeMetrics(metrics.NewRegistry()), ctx: ctx, cancel: cancel,
 	}
-	n.store.OnCall(n.logSlowCall)
-	n.watchStore.OnCall(n.logSlowCall)
+	n.store.OnCall(n.logStoreCall)
+	n.watchStore.OnCall(n.logStoreCall)
 	n.delays = peers.NewDelayEstimator(n.clock)
 	n.linkUsage.Store(&linkUsage{})
 	n.controllers.Store(&map[core.Service]*keys.Controller{})
