--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -253,3 +253,16 @@
 		}
 	}
 }
+
+// Guards against an odd report that makes a peer look better than idle, so that it
+// is chosen for all requests.
+func TestUsageOutOfRangeIsBounded(t *testing.T) {
+	l := &Load{}
+	l.SetUsage(Usage{Running: -5, Waiting: -7, FailedShare: -3, LinkShare: 9, ReadDelay: -time.Second, UnreadBodyBytes: -1 << 40, MeanServiceTime: -time.Second})
+	running, waiting := l.RequestCounts()
+	must.Eq(t, []int64{0, 0}, []int64{running, waiting})
+	must.Eq(t, []float64{0, 1}, []float64{l.FailedShare(), l.LinkShare()})
+	must.Eq(t, 0, l.ReadDelay())
+	must.Eq(t, 0, l.UnreadBodyBytes())
+	must.Eq(t, defaultServiceTime, l.MeanServiceTime())
+}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -45,14 +45,15 @@
 }
 
 // SetUsage records what the peer reported. A zero MeanServiceTime leaves the
-// earlier one.
+// earlier one. Values out of range count as the nearest one within: a negative one
+// would draw all requests to the peer.
 func (l *Load) SetUsage(u Usage) {
-	l.running.Store(int64(u.Running))
-	l.waiting.Store(int64(u.Waiting))
-	l.failedShareBits.Store(math.Float64bits(u.FailedShare))
-	l.linkShareBits.Store(math.Float64bits(u.LinkShare))
-	l.readDelayMicros.Store(u.ReadDelay.Microseconds())
-	l.unreadBodyBytes.Store(u.UnreadBodyBytes)
+	l.running.Store(int64(max(0, u.Running)))
+	l.waiting.Store(int64(max(0, u.Waiting)))
+	l.failedShareBits.Store(math.Float64bits(min(max(0, u.FailedShare), 1)))
+	l.linkShareBits.Store(math.Float64bits(min(max(0, u.LinkShare), 1)))
+	l.readDelayMicros.Store(max(0, u.ReadDelay.Microseconds()))
+	l.unreadBodyBytes.Store(max(0, u.UnreadBodyBytes))
 	if u.MeanServiceTime > 0 {
 		l.meanServiceMicros.Store(u.MeanServiceTime.Microseconds())
 	}
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -183,15 +185,46 @@
 		n.log.WithField("name", o.Name).Warn("object in the platform's store ignored: its name has no known prefix")
 		return "", false
 	}
-	var e fleet.Entry
-	if err := json.Unmarshal(o.Spec, &e); err != nil {
-		n.log.WithError(err).WithField("name", o.Name).Warn("decoding the address of a node from the platform's store failed")
+	e, err := decodeAddress(core.NodeID(id), o.Spec)
+	if err != nil {
+		n.log.WithError(err).WithField("name", o.Name).Warn("address of a node in the platform's store ignored")
 		return core.NodeID(id), true
 	}
 	n.nodes.ApplyEntry(e)
 	return core.NodeID(id), true
 }
 
+// maxCapacity bounds the capacities that an entry states: cores, and Mbit/s.
+const maxCapacity = 1e6
+
+// decodeAddress decodes the address of a node. Another writer may have left a
+// document that names no node to use.
+func decodeAddress(id core.NodeID, spec []byte) (fleet.Entry, error) {
+	var e fleet.Entry
+	if err := json.Unmarshal(spec, &e); err != nil {
+		return e, &Error{"decode the document", err}
+	}
+	for field, valid := range map[string]bool{
+		"node": e.Node == id && id != "", "inbound": isAddress(e.InboundAddress), "peer": isAddress(e.PeerAddress),
+		"power": e.CPUCores >= 0 && e.CPUCores <= maxCapacity, "link": e.LinkMbps >= 0 && e.LinkMbps <= maxCapacity,
+	} {
+		if !valid {
+			return e, &Error{"check the document", &platform.InvalidFieldError{Field: field}}
+		}
+	}
+	return addressEntry(e), nil
+}
+
+// isAddress reports whether a text is a host and a port that can be connected to.
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 // applyTable passes a key assignment on to the key controller of its service, or
 // keeps it until that is started.
 func (n *Node) applyTable(service core.Service, o platform.Object) {
