sidecar: refuse late requests of other nodes in a stop

Callers saw, on systems like this one: in a planned stop, requests that came late in the grace period were taken, passed on, and cut at its end without an answer.

Cause: while one request of the node's own callers ran, the node took requests of other nodes until 0.7 s before its end. What took longer was cut; the caller got 502, also for requests that may not be repeated. The calls of these requests were refused by then, since they enter like those of callers.

Evidence: TestStoppingNodeRefusesLateRequestsOfOtherNodes got 502 before for a request that may not be repeated, sent 3.6 s after the start of the stop, and gets 503 without a run. The tests of stops pass with the race detector.

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -27,10 +28,7 @@
 	// lines and the last beacon. With 300 ms, 5 of 16 stopped processes on slow
 	// VMs were killed. Requests that still run in the last sixth of the grace
 	// period may be cut off.
-	killMargin = 700 * time.Millisecond
-	// inboundDrain is the part of the grace period that is left for the requests
-	// of other nodes in flight, once no new ones are taken.
-	inboundDrain     = 700 * time.Millisecond
+	killMargin       = 700 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
 	// answerTimeout bounds the time to answer the requests that a stop ends. It
 	// is a part of killMargin.
@@ -38,9 +36,9 @@
 )
 
 // Stop stops the node gracefully. It first fails the readiness checks, so that
-// callers go elsewhere, and then refuses their requests. Requests of other nodes
-// are served until those of the node's own callers have ended. Stop returns
-// before the platform's grace period ends.
+// callers go elsewhere, and then refuses their requests and those of other nodes.
+// What has been taken until then has the rest of the grace period to end. Stop
+// returns before the platform's grace period ends.
 func (n *Node) Stop() {
 	grace := n.cfg.Settings.Bounds.StopGracePeriod - killMargin
 	n.log.WithFields(log.Fields{"grace_ms": grace.Milliseconds()}).Info("node is stopping")
@@ -51,9 +49,7 @@
 	defer cancel()
 	n.drainCallers(ctx)
 	n.router.EndWaits()
-	n.shutDownFrontend(ctx, n.outbound, grace-inboundDrain)
-	n.shutDownFrontend(ctx, n.inbound, grace)
-	n.shutDownFrontend(ctx, n.outbound, grace)
+	n.shutDownFrontends(ctx)
 	n.endRequests()
 	n.peerLinks.close(ctx)
 	n.removeAddress()
@@ -63,17 +59,19 @@
 	_ = n.beacons.Close()
 }
 
-// shutDownFrontend refuses new requests of a frontend and waits for those in
-// flight, until within has passed since the start of the stop. ctx ends with the
-// stop.
-func (n *Node) shutDownFrontend(ctx context.Context, f *frontend.Frontend, within time.Duration) {
-	stopDeadline, _ := ctx.Deadline()
-	deadline := stopDeadline.Add(within - (n.cfg.Settings.Bounds.StopGracePeriod - killMargin))
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	if err := f.Shutdown(ctx); err != nil {
-		n.log.WithError(err).WithField("running", f.Stats().InFlight).Warn("requests in flight did not end within the time that the stop allows for them")
+// shutDownFrontends refuses new requests of callers and of other nodes, and waits
+// for those in flight until ctx ends. Both are refused at the same time: the calls
+// that a request of another node makes of its backend server come from a caller.
+func (n *Node) shutDownFrontends(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, f := range []*frontend.Frontend{n.outbound, n.inbound} {
+		running.Go(func() {
+			if err := f.Shutdown(ctx); err != nil {
+				n.log.WithError(err).WithField("running", f.Stats().InFlight).Warn("requests in flight did not end within the time that the stop allows for them")
+			}
+		})
 	}
+	running.Wait()
 }
 
 // endRequests answers the callers' requests that are still in flight at the end
