--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -91,6 +91,9 @@
 	// of each answer.
 	EndlessHead
 	EndlessBody
+	// RefuseUnread refuses requests with a body before it reads the body, and reads
+	// on after readOnDelay.
+	RefuseUnread
 	faultCount // number of faults
 )
 
@@ -99,7 +102,7 @@
 
 var faultNames = [faultCount]string{
 	"none", "never-answer", "close-connection", "answer-twice", "omit-signature", "truncate-answer", "answer-error",
-	"repeat-refusal", "repeat-refusal-without-id", "cut-head", "endless-head", "endless-body",
+	"repeat-refusal", "repeat-refusal-without-id", "cut-head", "endless-head", "endless-body", "refuse-unread",
 }
 
 // String returns the name of the fault in plans.
@@ -225,6 +228,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if Fault(s.fault.Load()) == RefuseUnread && r.ContentLength != 0 {
+		refuseUnread(w, r)
+		return
+	}
 	s.mu.Lock()
 	misdirected := expectedInstance != "" && expectedInstance != s.cfg.Instance || s.cfg.Sharded && !s.holdsKey(key)
 	if !misdirected {
@@ -262,6 +269,27 @@
 	s.answer(w, r, fmt.Sprintf("%s %s %d %s", r.Method, r.RequestURI, len(body), r.Header.Get(wire.HeaderCaller)))
 }
 
+// readOnDelay is how long a server with the fault RefuseUnread leaves a body unread.
+const readOnDelay = time.Second
+
+// refuseUnread refuses a request and reads its body later. The server reads nothing
+// else from the connection before that.
+func refuseUnread(w http.ResponseWriter, r *http.Request) {
+	c := http.NewResponseController(w)
+	if c.EnableFullDuplex() != nil {
+		return // the server would read the body first
+	}
+	w.Header().Set(wire.HeaderNotExecuted, "1")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = c.Flush() // the request ends with its connection if that failed
+	select {
+	case <-time.After(readOnDelay):
+	case <-r.Context().Done():
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
 // cancelDelay is the time within which the handler of a request ends after its
 // connection has closed. A node that gives up a request closes its connection
 // and reuses the slot at once.
--- a/standin/keyed/keyed_test.go
+++ b/standin/keyed/keyed_test.go
@@ -71,3 +71,27 @@
 	must.StrNotContains(t, sent, "Content-Length")
 	must.Greater(t, 500_000, len(sent))
 }
+
+// Guards against a fault that reads the body before it refuses, so that a run with
+// it shows nothing.
+func TestUnreadBodyHoldsBackTheNextRequest(t *testing.T) {
+	s, err := Start("127.0.0.1:0", Config{Service: "s", Instance: "i", ReportAddress: "127.0.0.1:1", Slots: 4, ReportInterval: time.Hour})
+	must.NoError(t, err)
+	t.Cleanup(s.Crash)
+	s.SetFault(RefuseUnread)
+	conn, err := net.Dial("tcp", s.ln.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	body := strings.Repeat("x", 20_000)
+	began := time.Now()
+	_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-Marjoramshore-Attempt-Id: a\r\nContent-Length: 20000\r\n\r\n"+body+
+		"GET /x HTTP/1.1\r\nHost: h\r\nX-Marjoramshore-Attempt-Id: b\r\nConnection: close\r\n\r\n")
+	must.NoError(t, err)
+	must.NoError(t, conn.SetReadDeadline(began.Add(5*time.Second)))
+	received, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.Eq(t, 1, strings.Count(string(received), "HTTP/1.1 503"))
+	must.Eq(t, 1, strings.Count(string(received), "HTTP/1.1 200"))
+	must.GreaterEq(t, readOnDelay, time.Since(began))
+	must.Eq(t, []int{0, 1}, []int{s.RunCount("a"), s.RunCount("b")})
+}
