--- a/sidecar/backend/body_test.go
+++ b/sidecar/backend/body_test.go
@@ -27,14 +27,20 @@
 		w.Header().Set("X-Marjoramshore-Response-Signature", "s")
 	}))
 	t.Cleanup(server.Close)
+	return newProxyOf(t, server.Listener.Addr().String(), 1)
+}
+
+// newProxyOf returns a proxy of the backend server at address, with that many
+// slots.
+func newProxyOf(t *testing.T, address string, slots int) *Proxy {
 	p, err := New(Config{
-		Node: "n", Service: "reports", Address: server.Listener.Addr().String(), ReportInterval: time.Minute,
+		Node: "n", Service: "reports", Address: address, ReportInterval: time.Minute, DrainPeriod: 600 * time.Millisecond,
 		Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default},
 		KeyController: func() *keys.Controller { return nil }, OnRunChange: func(Run) {},
 	})
 	must.NoError(t, err)
 	go p.Run(t.Context())
-	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "reports", Slots: 1, Sequence: 1})
+	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "reports", Slots: slots, Sequence: 1})
 	must.True(t, ok)
 	return p
 }
--- a/sidecar/backend/earlyanswer_test.go
+++ b/sidecar/backend/earlyanswer_test.go
@@ -9,16 +9,10 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
 
-	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
-	"marjoramshore.example/platform"
-	"marjoramshore.example/sidecar/keys"
 )
 
 // Guards against a request that waits on a connection on which the backend server
@@ -38,15 +32,7 @@
 			go refuseUploadsUnread(c, readOn)
 		}
 	}()
-	p, err := New(Config{
-		Node: "n", Service: "reports", Address: ln.Addr().String(), ReportInterval: time.Minute,
-		Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default},
-		KeyController: func() *keys.Controller { return nil }, OnRunChange: func(Run) {},
-	})
-	must.NoError(t, err)
-	go p.Run(t.Context())
-	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "reports", Slots: 1, Sequence: 1})
-	must.True(t, ok)
+	p := newProxyOf(t, ln.Addr().String(), 1)
 
 	for i := range 3 {
 		const size = 20_000
--- a/sidecar/backend/statement_test.go
+++ b/sidecar/backend/statement_test.go
@@ -12,14 +12,9 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
 
-	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
-	"marjoramshore.example/platform"
-	"marjoramshore.example/sidecar/keys"
 )
 
 // statingServer is a backend server whose answers have the field that is set.
@@ -54,19 +49,6 @@
 	return s, newProxyOf(t, s.address, slots)
 }
 
-func newProxyOf(t *testing.T, address string, slots int) *Proxy {
-	p, err := New(Config{
-		Node: "n", Service: "reports", Address: address, ReportInterval: time.Minute, DrainPeriod: 600 * time.Millisecond,
-		Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default},
-		KeyController: func() *keys.Controller { return nil }, OnRunChange: func(Run) {},
-	})
-	must.NoError(t, err)
-	go p.Run(t.Context())
-	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "reports", Slots: slots, Sequence: 1})
-	must.True(t, ok)
-	return p
-}
-
 // sendOne sends a request and returns its failure, if any.
 func sendOne(ctx context.Context, p *Proxy, id string, priority int) error {
 	req := newRequest(id, 0, strings.NewReader(""))
