--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -299,6 +299,7 @@
 	f.requireServed(4*time.Second, keys)
 	lost := f.plainMembers()[0]
 	lostKeys := f.keysOwnedBy(f.nodes[lost], 3)
+	f.logOnFailure(lostKeys[0])
 	f.crashVM(lost)
 	f.waitFor(20*time.Second, "the lost member's keys are served during the outage", func() bool {
 		f.requireServed(0, append(append([]string{}, keys[:3*lost]...), keys[3*lost+3:]...))
--- a/ownership/outage_test.go
+++ b/ownership/outage_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -88,3 +89,51 @@
 	}
 	must.Eq(t, 8, len(owners))
 }
+
+// TestMemberLostInOutageDuringMove guards against keys of a lost member that nobody
+// serves until the store is back, because a move from the coordinator was being
+// written when the store failed: that move cannot be granted without the store, and
+// nothing else was decided while it stood.
+func TestMemberLostInOutageDuringMove(t *testing.T) {
+	blocked := 0
+	for seed := range uint64(20) {
+		s := newSettledGroup(t, seed+1, 6, 3)
+		lead, to := s.coordinatorNode(), s.ordinaryMember()
+		moved := s.pointsOf(lead, true)[0]
+		request := RequestMove{Range: core.Range{Lo: moved, Hi: moved + 7}, To: RunOf(to.member())}
+		s.deliver(lead, lead.incarnation, request)
+		s.run(100 * time.Millisecond)
+		s.deliver(lead, lead.incarnation, request)
+		s.store.mode = storeDown // before the move is written
+		s.run(3 * time.Second)
+		if lead.node.store.pendingWrite == nil {
+			continue // the node knew of the outage when it got the request
+		}
+		blocked++
+		lost := s.ordinaryMember()
+		if lost == to {
+			for _, n := range s.nodes {
+				if n != to && n != lead && !slices.Contains(lead.node.record.Successors, RunOf(n.member())) {
+					lost = n
+				}
+			}
+		}
+		must.NotEq(t, to.index, lost.index)
+		others := slices.DeleteFunc(s.pointsOf(lost, false), func(p core.Hash) bool { return s.owner(p) == nil })
+		keys := s.pointsOf(lost, true)
+		s.crash(lost)
+		s.run(maxRecovery)
+		must.Eq(t, "", s.failure)
+		for _, p := range keys {
+			must.NotNil(t, s.owner(p), must.Sprint("a key of the lost member has no owner, seed ", seed+1))
+		}
+		_, longest := s.measureOutage(others, time.Minute, 100*time.Millisecond)
+		must.Eq(t, 0, longest, must.Sprint("another member's key was unavailable"))
+		s.store.mode = storeUp
+		s.run(30 * time.Second)
+		must.Eq(t, "", s.failure)
+		must.Eq(t, 0, s.countUnserved())
+		must.Eq(t, to, s.owner(moved), must.Sprint("the move was not completed"))
+	}
+	must.Positive(t, blocked)
+}
