--- a/gate/doc.go
+++ b/gate/doc.go
@@ -16,6 +16,10 @@
 // A response that echoes Marjoram-Request-Id with the ID of another request is
 // dropped. Backend servers need not echo it.
 //
+// A connection is used again only if both messages are complete and the response
+// shows that the server has read the body of the request. A server may refuse an
+// upload unread and read the rest of it before the next request.
+//
 // A failure before the first byte has a code for which NotRun is true. After
 // the first byte the code is CodeUnknown until the response head has arrived,
 // and CodeAborted from then on.
