sidecar: know a run again whose node has just started

Callers saw: nothing; found by reading the change. What a node knows of a run (its limit, and that it leaves) is kept with the start of the run. A node that has just started announces no start before the first status report, so that for some milliseconds the statement counted as that of another run.

Change: an unknown start may be that of the run with the same instance. Nothing is recorded for an unknown one.

Evidence: TestNodesTellTheLimitThatTheyKnow and TestNodesSendNothingAfterTheDrainThatTheyKnow send to a node without a start, and fail without the change.

--- a/sidecar/links.go
+++ b/sidecar/links.go
@@ -35,12 +35,18 @@
 }
 
 // serverRun identifies a run of a backend server. One may start again under the
-// instance that it had.
+// instance that it had. bornUnixMs is 0 while the node beside it has just started
+// and has had no status report.
 type serverRun struct {
 	instance   string
 	bornUnixMs int64
 }
 
+// mayBe reports whether two runs are the same one, as far as is known.
+func (r serverRun) mayBe(other serverRun) bool {
+	return r.instance == other.instance && (r.bornUnixMs == other.bornUnixMs || r.bornUnixMs == 0 || other.bornUnixMs == 0)
+}
+
 // serverStatement is a statement of one run of a backend server.
 type serverStatement struct {
 	platform.Statement
@@ -52,15 +58,19 @@
 
 // knownStatement returns the last statement of a run.
 func (l *peerLink) knownStatement(run serverRun) serverStatement {
-	if s := l.statement.Load(); s != nil && s.run == run {
+	if s := l.statement.Load(); s != nil && s.run.mayBe(run) {
 		return *s
 	}
 	return serverStatement{run: run}
 }
 
-// recordStatement notes what an answer of a run says. A run that leaves does not
-// return, so that an answer made before does not change that.
+// recordStatement notes what an answer of a run says, once the start of the run is
+// known. A run that leaves does not return, so that an answer made before does not
+// change that.
 func (l *peerLink) recordStatement(now clock.Instant, run serverRun, resp *core.Response) {
+	if run.bornUnixMs == 0 {
+		return // it would count for all later runs of the instance as well
+	}
 	known := l.knownStatement(run)
 	next, said := known, platform.ParseStatement(resp)
 	if !said.Malformed {
--- a/sidecar/links_test.go
+++ b/sidecar/links_test.go
@@ -179,12 +179,15 @@
 // starts again: the other nodes do not tell it, or tell it of another run.
 func TestNodesTellTheLimitThatTheyKnow(t *testing.T) {
 	s := startStatingNode(t)
+	s.peer.BornUnixMs = 4
 	told := func(instance, names string) float64 {
 		must.NoError(t, s.send(instance, "Server-Limit", names))
 		return s.got.Load().RateLimit
 	}
 	must.Eq(t, 0, told("i-1", "12.5"))
-	s.peer.Incarnation = 9 // the node starts again
+	s.peer.Incarnation, s.peer.BornUnixMs = 9, 0 // the node starts again
+	must.Eq(t, 12.5, told("i-1", "7"))
+	s.peer.BornUnixMs = 4
 	must.Eq(t, 12.5, told("i-1", "-3"))
 	must.Eq(t, 12.5, told("i-1", "8"), must.Sprint("a malformed limit changes nothing"))
 	must.Eq(t, 8, told("i-1", ""))
@@ -196,9 +199,10 @@
 // than its drain, through a node that has started again and does not know it.
 func TestNodesSendNothingAfterTheDrainThatTheyKnow(t *testing.T) {
 	s := startStatingNode(t)
+	s.peer.BornUnixMs = 4
 	must.NoError(t, s.send("i-1", "Server-Leaving", "1"))
 	must.NoError(t, s.send("i-1", "Server-Leaving", ""), must.Sprint("within the drain"))
-	s.peer.Incarnation = 9
+	s.peer.Incarnation, s.peer.BornUnixMs = 9, 0 // has had no status report yet
 	time.Sleep(s.sender.cfg.Settings.Bounds.DrainPeriod)
 	must.Eq(t, core.CodeDraining, core.CodeOf(s.send("i-1", "", "")))
 	must.NoError(t, s.send("i-2", "", ""), must.Sprint("the next instance"))
