ownership: revert the postponed drafts, list what they were to mend

The change of "reassign a lost member's keys while a move waits for the store" does not hold. After a write that certainly failed, the postponed move waited for the next call to the store, which may be minutes away while promises hold. The code of the module is that of before, again.

--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -55,10 +55,6 @@
 	// queue holds assignments that are decided but not in a draft yet.
 	queue []assignment
 	draft *tableDraft
-	// postponed is a draft that needs the store, which became unavailable. It
-	// waits until the store answers, so that other ranges can be reassigned
-	// without it.
-	postponed *tableDraft
 	// authorityGivenUp is set once the coordinator has stepped down in favour
 	// of a successor.
 	authorityGivenUp bool
--- a/ownership/writes.go
+++ b/ownership/writes.go
@@ -26,23 +26,17 @@
 // ungrantedAssignments returns all assignments that are decided but not
 // granted.
 func (n *Node) ungrantedAssignments() []assignment {
-	c := n.coordinator
-	list := slices.Clone(c.queue)
-	for _, d := range []*tableDraft{c.draft, c.postponed} {
-		if d != nil {
-			list = append(list, d.assignments...)
-		}
+	if n.coordinator.draft == nil {
+		return n.coordinator.queue
 	}
-	return list
+	return append(slices.Clone(n.coordinator.draft.assignments), n.coordinator.queue...)
 }
 
 // draftNotWritten records that p did not store the draft. The draft is kept and
 // submitted again with the next write.
 func (c *coordinatorState) draftNotWritten(p *pendingWrite) {
-	for _, d := range []*tableDraft{c.draft, c.postponed} {
-		if d != nil && d.record == p.record {
-			d.record = nil
-		}
+	if c.draft != nil && c.draft.record == p.record {
+		c.draft.record = nil
 	}
 }
 
@@ -70,53 +64,27 @@
 }
 
 // tickWrites builds and submits the next table. While the store is unavailable,
-// it grants a draft without the write if that is safe, and postpones it otherwise.
+// it grants a draft without the write if that is safe.
 func (n *Node) tickWrites() {
 	c := n.coordinator
-	if c.postponed != nil && c.postponed.record == nil && !n.store.unavailable {
-		// Its table may be older than the one in the store by now.
-		c.queue = append(c.queue, c.postponed.assignments...)
-		c.postponed = nil
-	}
 	if c.draft == nil && (len(c.queue) > 0 || c.membersChanged() || len(c.unownedRanges(c.table)) > 0) {
 		n.buildDraft()
 	}
 	if n.store.pendingWrite == nil {
 		n.writeIfDue()
 	}
-	if c.draft == nil || !n.store.unavailable || n.now >= n.promiseEnd() {
-		return
-	}
-	switch {
-	case n.mayGrantUnwritten():
+	if c.draft != nil && n.store.unavailable && n.now < n.promiseEnd() && n.mayGrantUnwritten() {
 		n.recordEvent(EventAssignmentUnwritten, Run{}, core.Range{})
-		d := c.draft
-		c.draft = nil
-		n.installDraft(d)
-	case c.postponed == nil:
-		c.postponed, c.draft = c.draft, nil
+		n.installDraft()
 	}
 }
 
-// isPostponed reports whether a part of r is reassigned by the postponed draft,
-// which a write that may still take effect carries.
-func (c *coordinatorState) isPostponed(r core.Range) bool {
-	return c.postponed != nil && slices.ContainsFunc(c.postponed.assignments, func(a assignment) bool { return a.keyRange.Overlaps(r) })
-}
-
 // buildDraft makes a draft of the queued assignments, gives unowned ranges to
 // the assignable members, and merges neighbouring entries of a long table. It
 // makes none if the table would not change.
 func (n *Node) buildDraft() {
 	c := n.coordinator
-	var assignments, kept []assignment
-	for _, a := range c.queue {
-		if c.isPostponed(a.keyRange) {
-			kept = append(kept, a)
-		} else {
-			assignments = append(assignments, a)
-		}
-	}
+	assignments := c.queue
 	base := withMembers(c.table, c.nextMembers())
 	version := core.Token{Term: c.term, Sequence: c.lastSequence + 1}
 	table := applyAssignments(base, assignments, version)
@@ -131,7 +99,7 @@
 		assignments = append(assignments, merged...)
 		table = applyAssignments(base, assignments, version)
 	}
-	c.queue = kept
+	c.queue = nil
 	c.lastSequence++
 	c.draft = &tableDraft{table: table, baseVersion: c.table.Version, assignments: assignments}
 }
@@ -175,11 +143,6 @@
 		for _, v := range c.vacantRanges {
 			parts = core.SubtractAll(parts, v)
 		}
-		if c.postponed != nil {
-			for _, a := range c.postponed.assignments {
-				parts = core.SubtractAll(parts, a.keyRange)
-			}
-		}
 		out = append(out, parts...)
 	}
 	return out
@@ -275,12 +238,9 @@
 	c.withoutContact = !n.reachesGroup()
 	c.confirmedWriteSentAt = max(c.confirmedWriteSentAt, sentAt)
 	n.endReplacedPairs(p.record, version)
-	for _, d := range []**tableDraft{&c.draft, &c.postponed} {
-		if written := *d; written != nil && written.record == p.record {
-			*d = nil
-			n.recordEvent(EventAssignmentWritten, Run{}, core.Range{})
-			n.installDraft(written)
-		}
+	if c.draft != nil && c.draft.record == p.record {
+		n.recordEvent(EventAssignmentWritten, Run{}, core.Range{})
+		n.installDraft()
 	}
 	c.tableUnwritten = p.record.Table.Version != c.table.Version
 	c.nextPromiseAt = min(c.nextPromiseAt, n.now)
@@ -314,10 +274,11 @@
 	return false
 }
 
-// installDraft makes a draft the table of the group and sends it to the members
-// that gain ranges.
-func (n *Node) installDraft(d *tableDraft) {
-	c := n.coordinator
+// installDraft makes the draft the table of the group and sends it to the
+// members that gain ranges.
+func (n *Node) installDraft() {
+	c, d := n.coordinator, n.coordinator.draft
+	c.draft = nil
 	next := d.table
 	if c.table.Version != d.baseVersion {
 		// Claims were adopted since the draft was built. Its assignments are
