sidecar: close every listener before a stop returns

The listener for metrics was never closed. Class: an end that is begun, but not waited for.

Ruled out: another process that took the port in between.

Stop now closes the listeners itself. The listeners for callers and for other nodes were closed in time already.

--- a/sidecar/http.go
+++ b/sidecar/http.go
@@ -61,11 +61,14 @@
 	return &httpServer{server: server, listener: ln}, nil
 }
 
-func (s *httpServer) serve(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
-	defer stop()
-	// Serve returns when the server is closed, which is how the node stops.
-	_ = s.server.Serve(s.listener)
+// serve serves requests until close is called.
+func (s *httpServer) serve(context.Context) { _ = s.server.Serve(s.listener) }
+
+// close ends the server. The address is free when it returns, even if serve has
+// not run yet.
+func (s *httpServer) close() {
+	_ = s.server.Close()
+	_ = s.listener.Close()
 }
 
 // serveReady answers the platform's readiness checks, which decide whether
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -69,17 +69,7 @@
 	f := &testFleet{t: t, store: store, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}}
 	store.Put("config", "main", []byte(fmt.Sprintf(configFormat, 1, "")))
 	for i, s := range services {
-		p := freePorts(t, 6)
-		address := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", p[k]) }
-		settings := platform.Settings{
-			Node: core.NodeID(fmt.Sprintf("node-%d", i)), DataCentre: "a", IP: "127.0.0.1", Service: s,
-			BackendAddress: address(0), CallerAddress: address(1), InboundAddress: address(2), ReadyAddress: address(3), ReportAddress: address(4), FirstPeerPort: p[5], LastPeerPort: p[5],
-			StoreAddress: store.Addr(), ReportInterval: 200 * time.Millisecond,
-			Bounds: platform.Bounds{
-				DrainPeriod: 2 * time.Second, StopGracePeriod: 6 * time.Second, MaxHoldTime: 10 * time.Second, ConfigDeadline: 2500 * time.Millisecond,
-				RetryRatio: 0.2, MinRetries: 60, RetryWindow: 10 * time.Second,
-			},
-		}
+		settings := f.newSettings(i, s)
 		adjust(i, &settings)
 		f.settings = append(f.settings, settings)
 		f.nodes = append(f.nodes, f.startNode(settings))
@@ -90,6 +80,22 @@
 	return f
 }
 
+// newSettings returns the settings of a node of the fleet, with addresses of its
+// own.
+func (f *testFleet) newSettings(i int, s core.Service) platform.Settings {
+	p := freePorts(f.t, 6)
+	address := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", p[k]) }
+	return platform.Settings{
+		Node: core.NodeID(fmt.Sprintf("node-%d", i)), DataCentre: "a", IP: "127.0.0.1", Service: s,
+		BackendAddress: address(0), CallerAddress: address(1), InboundAddress: address(2), ReadyAddress: address(3), ReportAddress: address(4), FirstPeerPort: p[5], LastPeerPort: p[5],
+		StoreAddress: f.store.Addr(), ReportInterval: 200 * time.Millisecond,
+		Bounds: platform.Bounds{
+			DrainPeriod: 2 * time.Second, StopGracePeriod: 6 * time.Second, MaxHoldTime: 10 * time.Second, ConfigDeadline: 2500 * time.Millisecond,
+			RetryRatio: 0.2, MinRetries: 60, RetryWindow: 10 * time.Second,
+		},
+	}
+}
+
 func (f *testFleet) startNode(settings platform.Settings) *sidecar.Node {
 	n, err := sidecar.New(sidecar.Config{Settings: settings, Log: &log.Logger{Handler: discard.Default}})
 	must.NoError(f.t, err)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -38,7 +38,8 @@
 // Stop stops the node gracefully. It first fails the readiness checks, so that
 // callers go elsewhere, and then refuses their requests and those of other nodes.
 // What has been taken until then has the rest of the grace period to end. Stop
-// returns before the platform's grace period ends.
+// returns before the platform's grace period ends. The node's addresses are free
+// then.
 func (n *Node) Stop() {
 	grace := n.cfg.Settings.Bounds.StopGracePeriod - killMargin
 	n.log.WithFields(log.Fields{"grace_ms": grace.Milliseconds()}).Info("node is stopping")
@@ -55,8 +56,19 @@
 	n.removeAddress()
 	n.log.WithFields(log.Fields{"cut": n.countInFlight()}).Info("node has stopped; requests still in flight are cut off")
 	n.cancel()
+	n.closeListeners()
+}
+
+// closeListeners ends the servers that have no requests of callers, and frees
+// their addresses for the node that starts next.
+func (n *Node) closeListeners() {
 	_ = n.peerServer.Close()
 	_ = n.beacons.Close()
+	n.reportServer.close()
+	n.readyServer.close()
+	if n.metricsServer != nil {
+		n.metricsServer.Close()
+	}
 }
 
 // shutDownFrontends refuses new requests of callers and of other nodes, and waits
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -152,7 +152,7 @@
 	}}
 }
 
-// Serve serves requests until Shutdown. The error is an *Error.
+// Serve serves requests until Shutdown or Close. The error is an *Error.
 func (s *MetricsServer) Serve() error {
 	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return &Error{Operation: "serve metrics", Cause: err}
@@ -167,3 +167,10 @@
 	}
 	return nil
 }
+
+// Close ends the server, and requests that are being served. The listener is
+// closed when it returns, even if Serve has not run yet.
+func (s *MetricsServer) Close() {
+	_ = s.server.Close()
+	_ = s.listener.Close()
+}
