Give the nodes of test fleets addresses that no other socket takes

The tests of sidecar looked for free ports, closed them, and gave them to nodes and backend servers that started later, some of them again after a crash. In between, the kernel may give such a port to a listener or a connection of another test.

Each VM of a test fleet now has its own loopback address and the platform's ports, as in the soak, whose addresses move to the package standin/loopback. All of these ports are below those that the kernel gives out.

--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -109,13 +109,14 @@
 	}
 }
 
+// unusedAddress refuses connections. Its port is below those that the kernel gives
+// to sockets of other tests.
+const unusedAddress = "127.0.0.1:1"
+
 // Guards against an unreachable node that is classed as one that may have run
 // the request.
 func TestUnreachableNodeMeansNotRun(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	must.NoError(t, ln.Close())
-	l, err := NewLink(ln.Addr().String(), newSender(), nil)
+	l, err := NewLink(unusedAddress, newSender(), nil)
 	must.NoError(t, err)
 	var load fleet.Load
 	clk := clock.NewReal()
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +21,9 @@
 	"marjoramshore.example/platform"
 	"marjoramshore.example/sidecar"
 	"marjoramshore.example/standin/keyed"
+	"marjoramshore.example/standin/loopback"
 	"marjoramshore.example/standin/objects"
+	"marjoramshore.example/standin/wire"
 )
 
 const configFormat = `{"version":"%08x","routes":{"columns":["name","host","path-prefix","type","timeout","target-latency","priority","service","attempts"],
@@ -40,21 +43,9 @@
 	client   *http.Client
 }
 
-// freePorts returns ports that are free on the loopback interface.
-func freePorts(t *testing.T, n int) []int {
-	var list []net.Listener
-	out := make([]int, 0, n)
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		must.NoError(t, err)
-		list = append(list, ln)
-		out = append(out, ln.Addr().(*net.TCPAddr).Port)
-	}
-	for _, ln := range list {
-		_ = ln.Close()
-	}
-	return out
-}
+// fleetVMs counts the VMs of all test fleets, so that each gets an address of its
+// own.
+var fleetVMs atomic.Int64
 
 func startFleet(t *testing.T, services ...core.Service) *testFleet {
 	return startFleetWith(t, func(int, *platform.Settings) {}, services...)
@@ -80,14 +71,14 @@
 	return f
 }
 
-// newSettings returns the settings of a node of the fleet, with addresses of its
-// own.
+// newSettings returns the settings of a node of the fleet on a VM of its own.
 func (f *testFleet) newSettings(i int, s core.Service) platform.Settings {
-	p := freePorts(f.t, 6)
-	address := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", p[k]) }
+	ip := loopback.IP(0, int(fleetVMs.Add(1)%250))
+	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	return platform.Settings{
-		Node: core.NodeID(fmt.Sprintf("node-%d", i)), DataCentre: "a", IP: "127.0.0.1", Service: s,
-		BackendAddress: address(0), CallerAddress: address(1), InboundAddress: address(2), ReadyAddress: address(3), ReportAddress: address(4), FirstPeerPort: p[5], LastPeerPort: p[5],
+		Node: core.NodeID(fmt.Sprintf("node-%d", i)), DataCentre: "a", IP: ip, Service: s,
+		BackendAddress: address(wire.PortBackend), CallerAddress: address(wire.PortOutbound), InboundAddress: address(wire.PortInbound),
+		ReadyAddress: address(wire.PortReady), ReportAddress: address(wire.PortReports), FirstPeerPort: wire.PortPeers, LastPeerPort: wire.PortPeers,
 		StoreAddress: f.store.Addr(), ReportInterval: 200 * time.Millisecond,
 		Bounds: platform.Bounds{
 			DrainPeriod: 2 * time.Second, StopGracePeriod: 6 * time.Second, MaxHoldTime: 10 * time.Second, ConfigDeadline: 2500 * time.Millisecond,
--- a/sidecar/stopaddresses_test.go
+++ b/sidecar/stopaddresses_test.go
@@ -1,7 +1,6 @@
 package sidecar_test
 
 import (
-	"fmt"
 	"net"
 	"runtime"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"marjoramshore.example/sidecar"
+	"marjoramshore.example/standin/wire"
 )
 
 // Guards against a node that does not start again because the stop before it
@@ -20,7 +20,7 @@
 func TestStoppedNodeLeavesNoListenerOpen(t *testing.T) {
 	f := startFleet(t, "prices")
 	settings := f.newSettings(1, "reports")
-	metricsAddr := fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1)[0])
+	metricsAddr := net.JoinHostPort(settings.IP, strconv.Itoa(wire.PortStore))
 	n, err := sidecar.New(sidecar.Config{Settings: settings, Log: &log.Logger{Handler: discard.Default}, MetricsAddr: metricsAddr})
 	must.NoError(t, err)
 	must.NoError(t, n.Start())
--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"marjoramshore.example/standin/loopback"
 	"marjoramshore.example/standin/wire"
 )
 
@@ -19,7 +20,7 @@
 func TestRepeatedSIGTERMKeepsGracePeriod(t *testing.T) {
 	binary := buildBinary(t)
 	settingsFile := filepath.Join(t.TempDir(), "node.conf")
-	ip := loopbackIP(2, 0)
+	ip := loopback.IP(2, 0)
 	settings := wire.VM{Node: "n", DataCentre: "a", IP: ip, Service: plainService, Store: ip}.EncodeSettings(settingsBounds)
 	must.NoError(t, os.WriteFile(settingsFile, []byte(settings), 0o600))
 	cmd := exec.Command(binary, "sidecar")
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"marjoramshore.example/standin/keyed"
+	"marjoramshore.example/standin/loopback"
 	"marjoramshore.example/standin/wire"
 )
 
@@ -79,17 +80,10 @@
 	supervisor sync.WaitGroup
 }
 
-// loopbackIP returns an address in 127.0.0.0/8. It depends on the process ID, so
-// that concurrent runs on one host use different addresses.
-func loopbackIP(subnet, index int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 2*(pid/250%120)+subnet, index+1)
-}
-
 // newVM writes the settings of a node and starts its links, its process and its
 // backend server.
 func newVM(r *run, index int, service string) (*vm, error) {
-	v := &vm{run: r, serverTurn: make(chan struct{}, 1), name: fmt.Sprintf("node-%d", index), service: service, ip: loopbackIP(0, r.opts.FirstAddress+index), proxyIP: loopbackIP(1, r.opts.FirstAddress+index)}
+	v := &vm{run: r, serverTurn: make(chan struct{}, 1), name: fmt.Sprintf("node-%d", index), service: service, ip: loopback.IP(0, r.opts.FirstAddress+index), proxyIP: loopback.IP(1, r.opts.FirstAddress+index)}
 	v.settingsFile = filepath.Join(r.opts.Dir, v.name+".conf")
 	dataCentre := string(rune('a' + index%3))
 	settings := wire.VM{Node: v.name, DataCentre: dataCentre, IP: v.ip, Service: service, Store: v.proxyIP}.EncodeSettings(settingsBounds)
--- a/soak/vm_test.go
+++ b/soak/vm_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"marjoramshore.example/ring"
+	"marjoramshore.example/standin/loopback"
 	"marjoramshore.example/standin/wire"
 )
 
@@ -19,7 +20,7 @@
 	r := &run{ctx: t.Context(), started: time.Now(), events: ring.New[Event]("test_events", 1024, ring.Block)}
 	go ring.Consume(context.Background(), r.events, 0, func(Event) {}, nil)
 	t.Cleanup(r.events.Close)
-	return &vm{run: r, name: "node", service: plainService, ip: loopbackIP(2, index), serverTurn: make(chan struct{}, 1)}
+	return &vm{run: r, name: "node", service: plainService, ip: loopback.IP(2, index), serverTurn: make(chan struct{}, 1)}
 }
 
 // Guards against a run that ends with "address already in use", because the child
