ownership: take a move from the coordinator back when others wait in an outage

Cause, traced before: a draft that moves a range of the coordinator needs the store, because a successor that takes over treats that range as free. If the store failed while such a draft was written, no other draft was made, so that the ranges of the lost member were never assigned.

Change: if anything else waits behind such a draft, the coordinator gives the range back to itself under a new token, which needs no write, and makes a new draft. Its own lease ends with its authority, before a successor may take over, whichever record is stored by then. Nobody serves under the former draft, since it was never granted. The move starts again once the store is available. The keys of the move are served meanwhile.

The module passes with the race detector. TestStoreOutage passes 20 of 20 with the race detector at load 12.

--- a/ownership/api.go
+++ b/ownership/api.go
@@ -189,6 +189,7 @@
 	EventAssignmentUnwritten EventKind = "assignment-unwritten"
 	EventMoveStarted         EventKind = "move-started"
 	EventMoveFailed          EventKind = "move-failed"
+	EventMoveCancelled       EventKind = "move-cancelled"
 	EventDrainAccepted       EventKind = "drain-accepted"
 	EventSuccessorsChanged   EventKind = "successors-changed"
 	EventActingBegan         EventKind = "acting-began"
--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -81,6 +81,8 @@
 
 	moves      []*plannedMove
 	lastMoveID uint64
+	// cancelledMoves are moves that start again once the store is available.
+	cancelledMoves []assignment
 }
 
 // frozenRange is a range with the owner that the stored record names.
--- a/ownership/moves.go
+++ b/ownership/moves.go
@@ -74,26 +74,46 @@
 	n.recordEvent(EventMoveStarted, from, r)
 }
 
-// onMoveRequest starts a move for each entry that the requested range overlaps.
+// onMoveRequest starts the requested move.
 func (n *Node) onMoveRequest(r *MoveRequest) {
 	c := n.coordinator
 	if c == nil || r.Term != c.term || r.Range.Lo > r.Range.Hi || !n.storeReady() {
 		return
 	}
-	to := c.findMember(r.To)
-	if to == nil || !to.inTable || !n.isAssignable(to) {
+	n.moveRange(r.Range, r.To)
+}
+
+// moveRange starts a move for each entry that r overlaps, if the run may be given
+// ranges.
+func (n *Node) moveRange(r core.Range, to Run) {
+	c := n.coordinator
+	info := c.findMember(to)
+	if info == nil || !info.inTable || !n.isAssignable(info) {
 		return
 	}
 	for _, e := range c.table.Entries {
-		if e.Range.Overlaps(r.Range) {
-			n.startMove(e, e.Range.Intersect(r.Range), r.To)
+		if e.Range.Overlaps(r) {
+			n.startMove(e, e.Range.Intersect(r), to)
 		}
 	}
 }
 
+// restartMoves starts the cancelled moves again once the store is available.
+func (n *Node) restartMoves() {
+	c := n.coordinator
+	if len(c.cancelledMoves) == 0 || !n.storeReady() {
+		return
+	}
+	for _, a := range c.cancelledMoves {
+		n.moveRange(a.keyRange, a.to)
+	}
+	c.cancelledMoves = nil
+}
+
 // tickMoves repeats the stop request of each move until the old owner reports.
 func (n *Node) tickMoves() {
 	c := n.coordinator
+	n.restartMoves()
 	for _, m := range c.moves {
 		if n.now < m.nextStopAt {
 			n.wakeAt(m.nextStopAt)
--- a/ownership/writes.go
+++ b/ownership/writes.go
@@ -73,12 +73,52 @@
 	if n.store.pendingWrite == nil {
 		n.writeIfDue()
 	}
-	if c.draft != nil && n.store.unavailable && n.now < n.promiseEnd() && n.mayGrantUnwritten() {
+	if c.draft == nil || !n.store.unavailable || n.now >= n.promiseEnd() {
+		return
+	}
+	if !n.mayGrantUnwritten() && n.othersWaitForDraft() {
+		n.cancelOwnMoves()
+	}
+	if n.mayGrantUnwritten() {
 		n.recordEvent(EventAssignmentUnwritten, Run{}, core.Range{})
 		n.installDraft()
 	}
 }
 
+// othersWaitForDraft reports whether anything but moves from this node is
+// decided but not granted.
+func (n *Node) othersWaitForDraft() bool {
+	c := n.coordinator
+	return c.membersChanged() || len(c.unownedRanges(c.table)) > 0 ||
+		slices.ContainsFunc(n.ungrantedAssignments(), n.mayAssignUnwritten)
+}
+
+// cancelOwnMoves gives the ranges that move away from this node back to it, since
+// their assignment needs the store, and makes a new draft of what else is decided.
+// The moves start again once the store is available. A write with the former draft
+// may still take effect; no other node serves under it.
+func (n *Node) cancelOwnMoves() {
+	c := n.coordinator
+	assignments := slices.Clone(n.ungrantedAssignments())
+	var cancelled []assignment
+	for i, a := range assignments {
+		if n.mayAssignUnwritten(a) {
+			continue
+		}
+		if !ownsWhole(c.table, n.self, a.keyRange) {
+			return
+		}
+		cancelled = append(cancelled, a)
+		assignments[i] = assignment{keyRange: a.keyRange, to: n.self}
+	}
+	for _, a := range cancelled {
+		n.recordEvent(EventMoveCancelled, a.to, a.keyRange)
+	}
+	c.cancelledMoves = append(c.cancelledMoves, cancelled...)
+	c.draft, c.queue = nil, assignments
+	n.buildDraft()
+}
+
 // buildDraft makes a draft of the queued assignments, gives unowned ranges to
 // the assignable members, and merges neighbouring entries of a long table. It
 // makes none if the table would not change.
@@ -246,22 +286,21 @@
 	c.nextPromiseAt = min(c.nextPromiseAt, n.now)
 }
 
-// mayGrantUnwritten reports whether the draft reassigns no range that the
-// stored record, or a write that may still take effect, gives to this node. A
-// successor that takes over treats those ranges as free at once.
+// mayGrantUnwritten reports whether each assignment of the draft may be granted
+// before it is written.
 func (n *Node) mayGrantUnwritten() bool {
-	for _, a := range n.coordinator.draft.assignments {
-		if a.to == n.self {
-			continue
-		}
-		if ownsPartOf(&n.record.Table, n.self, a.keyRange) {
-			return false
-		}
-		if p := n.store.pendingWrite; p != nil && ownsPartOf(&p.record.Table, n.self, a.keyRange) {
-			return false
-		}
+	return !slices.ContainsFunc(n.coordinator.draft.assignments, func(a assignment) bool { return !n.mayAssignUnwritten(a) })
+}
+
+// mayAssignUnwritten reports whether a reassigns no range that the stored record,
+// or a write that may still take effect, gives to this node. A successor that
+// takes over treats those ranges as free at once.
+func (n *Node) mayAssignUnwritten(a assignment) bool {
+	if a.to == n.self {
+		return true
 	}
-	return true
+	p := n.store.pendingWrite
+	return !ownsPartOf(&n.record.Table, n.self, a.keyRange) && (p == nil || !ownsPartOf(&p.record.Table, n.self, a.keyRange))
 }
 
 // ownsPartOf reports whether t assigns any part of r to run.
@@ -274,6 +313,17 @@
 	return false
 }
 
+// ownsWhole reports whether t assigns all of r to run.
+func ownsWhole(t *core.Table, run Run, r core.Range) bool {
+	rest := []core.Range{r}
+	for _, e := range t.Entries {
+		if ownerOf(t, e) == run {
+			rest = core.SubtractAll(rest, e.Range)
+		}
+	}
+	return len(rest) == 0
+}
+
 // installDraft makes the draft the table of the group and sends it to the
 // members that gain ranges.
 func (n *Node) installDraft() {
