soak: callers that leave early, and a check that their requests go no further

One request in eight is now waited for no longer than a random time below 1 s. The check "gone" reports a request that reaches a backend server over 0.5 s after its caller has left, unless a disturbance delays nodes or the links between them.

Evidence: TestEachCheckDetectsItsViolation has the case.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -22,6 +22,10 @@
 	uploadBytes = 48 << 10
 	// One in closeOneIn requests asks the node to close its connection.
 	closeOneIn = 16
+	// One in leaveOneIn requests is not waited for longer than a random time of
+	// at most maxPatience. The caller then closes the connection.
+	leaveOneIn  = 8
+	maxPatience = time.Second
 )
 
 // attemptSequence makes the attempt IDs unique within the process.
@@ -106,10 +110,14 @@
 	if kind.service == keyedService {
 		q.key = fmt.Sprint(c.rng.IntN(keyCount))
 	}
+	patience := clientTimeout
+	if c.rng.IntN(leaveOneIn) == 0 {
+		patience = time.Duration(c.rng.Int64N(int64(maxPatience)))
+	}
 	c.dropEndedConn()
 	c.record(SentRequest{c.elapsed(), id, kind.service, q.target, kind.atMostOnce})
 	end := RequestEnd{ID: id, Target: q.target}
-	retryAfter := c.roundTrip(ctx, q, &end)
+	retryAfter := c.roundTrip(ctx, q, patience, &end)
 	end.At = c.elapsed()
 	if ctx.Err() != nil {
 		return 0 // the end of the run cut the request off
@@ -133,9 +141,10 @@
 	}
 }
 
-// roundTrip sends a request on the kept connection or a new one, and fills in
-// the outcome. It returns the Retry-After of the response, or 0.
-func (c *caller) roundTrip(ctx context.Context, q nodeRequest, end *RequestEnd) time.Duration {
+// roundTrip sends a request on the kept connection or a new one, waits for the
+// response until patience is over, and fills in the outcome. It returns the
+// Retry-After of the response, or 0.
+func (c *caller) roundTrip(ctx context.Context, q nodeRequest, patience time.Duration, end *RequestEnd) time.Duration {
 	if c.conn == nil {
 		conn, err := dialNode(fmt.Sprintf("%s:%d", c.vm.ip, wire.PortOutbound))
 		if err != nil {
@@ -144,7 +153,8 @@
 		}
 		c.conn = conn
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(clientTimeout))
+	deadline := time.Now().Add(patience)
+	_ = c.conn.SetDeadline(deadline)
 	conn := c.conn
 	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
 	resp := c.conn.exchange(q, end)
@@ -152,6 +162,7 @@
 		c.closeConn()
 	}
 	if resp == nil {
+		end.Left = patience < clientTimeout && !time.Now().Before(deadline)
 		return 0
 	}
 	retryAfter, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -18,6 +18,9 @@
 	// faultEffectTime is how long after the end of an unplanned disturbance its
 	// effects still excuse a request without a response.
 	faultEffectTime = 3 * time.Second
+	// withdrawalTime is the time after the end of a caller's connection within
+	// which its request may still reach a backend server.
+	withdrawalTime = 500 * time.Millisecond
 	// requestReadTime is the time within which a node has read a request that
 	// was sent to it. A request that was cut off earlier may not have been read.
 	requestReadTime = 200 * time.Millisecond
@@ -63,6 +66,9 @@
 	// error of its client.
 	Status int
 	Reason string
+	// Left is set when the caller closed its connection before it had the complete
+	// response.
+	Left bool
 	// NotConnected is set when no connection to the node was established.
 	NotConnected bool
 	// ReadByNode is set when the caller got no complete response although the
@@ -118,7 +124,10 @@
 }
 
 // FaultPeriod records when an unplanned disturbance begins and ends.
-type FaultPeriod struct{ From, To time.Duration }
+type FaultPeriod struct {
+	From, To time.Duration
+	Kind     Kind
+}
 
 // ProcessFailure records that a node's process exited by itself with an error,
 // or did not stop within the grace period.
@@ -146,6 +155,8 @@
 	starts []time.Duration // one for each execution on a backend server
 	ended  bool
 	status int
+	// leftAt is when the caller left, or 0.
+	leftAt time.Duration
 }
 
 // holder is the latest grant of a backend server.
@@ -170,11 +181,12 @@
 }
 
 // Counts are the totals of a run. Answered counts responses below 300, Refused
-// those that rule out an execution, Failed all others, and Cut requests without
-// a complete response. Runs counts executions on backend servers and Grants the
+// those that rule out an execution, Failed all others, Left requests whose callers
+// did not wait for the response, and Cut other requests without a complete
+// response. Runs counts executions on backend servers and Grants the
 // grants of key ranges to them.
 type Counts struct {
-	Sent, Answered, Refused, Failed, Cut, Runs, Grants int
+	Sent, Answered, Refused, Failed, Left, Cut, Runs, Grants int
 	// PerSecond has an entry for each second of the run.
 	PerSecond []SecondCounts
 }
@@ -249,6 +261,9 @@
 		c.addViolation(e.At, "mixed", "%s got status %d with the signature of another response", e.ID, e.Status)
 	}
 	switch {
+	case e.Left:
+		c.counts.Left++
+		r.leftAt = e.At
 	case e.Status == 0 && e.NotConnected:
 		c.counts.Cut++
 	case e.Status == 0:
@@ -340,7 +355,12 @@
 // isFaultFree reports whether no unplanned disturbance has effects between from
 // and to.
 func (c *Checker) isFaultFree(from, to time.Duration) bool {
-	return !slices.ContainsFunc(c.faults, func(fault FaultPeriod) bool { return fault.From <= to && from <= fault.To+faultEffectTime })
+	return !slices.ContainsFunc(c.faults, func(f FaultPeriod) bool { return f.overlaps(from, to) })
+}
+
+// overlaps reports whether the disturbance has effects between from and to.
+func (e FaultPeriod) overlaps(from, to time.Duration) bool {
+	return e.From <= to && from <= e.To+faultEffectTime
 }
 
 // UnheldKeys returns the number of keys that no backend server holds at the
@@ -362,7 +382,7 @@
 func (c *Checker) checkAnsweredRatio(from, to time.Duration) {
 	sent, answered := 0, 0
 	for _, r := range c.requests {
-		if r.At >= from && r.At < to {
+		if r.At >= from && r.At < to && r.leftAt == 0 {
 			sent++
 			if r.ended && r.status/100 == 2 {
 				answered++
@@ -384,11 +404,33 @@
 			c.addViolation(e.At, "lost", "%s, sent at %.2fs, got no complete response: %s", e.ID, r.At.Seconds(), e.Reason)
 		}
 	}
+	c.checkWithdrawals()
 	c.checkRetryBudget()
 	slices.SortFunc(c.violations, func(a, b Violation) int { return int(a.At - b.At) })
 	return c.violations, c.counts
 }
 
+// checkWithdrawals checks that no request reaches a backend server later than
+// withdrawalTime after its caller has left.
+func (c *Checker) checkWithdrawals() {
+	for _, r := range c.requests {
+		if r.leftAt == 0 {
+			continue
+		}
+		for _, at := range r.starts {
+			if at > r.leftAt+withdrawalTime && !c.areNodesDelayed(r.At, at) {
+				c.addViolation(at, "gone", "%s, whose caller left at %.2fs, reached a backend server %v later", r.ID, r.leftAt.Seconds(), at-r.leftAt)
+			}
+		}
+	}
+}
+
+// areNodesDelayed reports whether a disturbance that delays nodes has effects
+// between from and to.
+func (c *Checker) areNodesDelayed(from, to time.Duration) bool {
+	return slices.ContainsFunc(c.faults, func(f FaultPeriod) bool { return f.Kind.DelaysNodes() && f.overlaps(from, to) })
+}
+
 // checkRetryBudget checks, for each service, that the executions after the first
 // one of a request stay within the retry budget. The requests of the window that
 // follows or of the one before count, whichever are more.
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -58,6 +58,7 @@
 		"signature of another answer": {"mixed", []Event{sentRequest("a", true), requestStart("a", "s1"), endWith(func(e *RequestEnd) { e.Status = 502 })}},
 		"bytes without a request":     {"mixed", []Event{UnsolicitedBytes{second, "node-1", 64}}},
 		"cut off after it was read":   {"lost", []Event{sentRequest("a", true), endWith(func(e *RequestEnd) { e.At, e.Status, e.Signed, e.ReadByNode = second, 0, false, true })}},
+		"execution after withdrawal":  {"gone", []Event{sentRequest("a", true), endWith(func(e *RequestEnd) { e.Status, e.Signed, e.Left = 0, false, true }), startWith(func(b *RequestStart) { b.At = 2 * second })}},
 		"more than slots":             {"slots", []Event{SlotOverrun{second, "s1", 9, 8}}},
 		"process failure":             {"process", []Event{ProcessFailure{second, "node-1", "exit status 2"}}},
 		"keys not held":               {"recovery", []Event{FailedRecovery{second, "64 keys have no holder"}}},
@@ -89,7 +90,7 @@
 func TestExcusesForMissingAnswers(t *testing.T) {
 	noAnswer := requestEnd("a", 0)
 	for _, events := range [][]Event{
-		{FaultPeriod{0, 500 * time.Millisecond}, sentRequest("a", true), requestStart("a", "s1"), noAnswer},
+		{FaultPeriod{0, 500 * time.Millisecond, Crash}, sentRequest("a", true), requestStart("a", "s1"), noAnswer},
 		{sentRequest("a", true), RequestEnd{At: time.Second + requestReadTime/2, ID: "a"}},
 		{sentRequest("a", true), RequestEnd{At: 3 * time.Second, ID: "a", NotConnected: true}},
 	} {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -78,6 +78,12 @@
 // Planned reports whether the disturbance is planned work.
 func (k Kind) Planned() bool { return k <= lastPlanned }
 
+// DelaysNodes reports whether the disturbance delays what a node handles, or what
+// the nodes send to each other.
+func (k Kind) DelaysNodes() bool {
+	return slices.Contains([]Kind{Pause, CutIn, CutBack, ResetIn, SlowIn, Throttle}, k)
+}
+
 // Step is one disturbance of a plan. At counts from the start of the callers.
 type Step struct {
 	At, Duration time.Duration
--- a/soak/report.go
+++ b/soak/report.go
@@ -28,8 +28,8 @@
 // and each violation.
 func (r Result) Print(w io.Writer) {
 	c := r.Counts
-	fmt.Fprintf(w, "seed=%d nodes=%d seconds=%.0f steps=%d sent=%d answered=%d refused=%d failed=%d cut=%d grants=%d memory_mb=%d late_timers=%d violations=%d\n",
-		r.Seed, r.Shape.Nodes(), r.Took.Seconds(), len(r.Steps), c.Sent, c.Answered, c.Refused, c.Failed, c.Cut, c.Grants, r.MaxMemoryMB, len(r.LateTimers), len(r.Violations))
+	fmt.Fprintf(w, "seed=%d nodes=%d seconds=%.0f steps=%d sent=%d answered=%d refused=%d failed=%d left=%d cut=%d grants=%d memory_mb=%d late_timers=%d violations=%d\n",
+		r.Seed, r.Shape.Nodes(), r.Took.Seconds(), len(r.Steps), c.Sent, c.Answered, c.Refused, c.Failed, c.Left, c.Cut, c.Grants, r.MaxMemoryMB, len(r.LateTimers), len(r.Violations))
 	for _, l := range r.LateTimers {
 		fmt.Fprintf(w, "   %.2fs a timer of the soak expired %d ms late\n", l.At.Seconds(), l.Delay.Milliseconds())
 	}
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -53,7 +53,7 @@
 func (r *run) startStep(s Step) {
 	v := r.vms[s.Node]
 	if !s.Kind.Planned() {
-		r.record(FaultPeriod{r.elapsed(), r.elapsed() + s.Duration})
+		r.record(FaultPeriod{r.elapsed(), r.elapsed() + s.Duration, s.Kind})
 	}
 	switch s.Kind {
 	case Restart:
