entrance: wait for the new owner of a moved key after a refused redirect

Callers saw: refusals (not-owner) of requests that arrive while a range moves in calm.

Cause, shown by a test: the old owner of a range names the new one as soon as it knows of the move, and the new one names the old one until it has learned of it. The router followed each hint at once, so that a request went to and fro (a, b, a, b) and used up its four attempts within a millisecond.

Change: a redirect that is refused as well is not followed by another one. The request waits for a newer table first, 800 ms at most, as it does without a hint.

Ruled out: a shorter wait of 200 ms.

--- a/entrance/router.go
+++ b/entrance/router.go
@@ -110,6 +110,8 @@
 	// hintedAddr is the owner's peer address that the last failure named, or
 	// empty. The next attempt uses it instead of the view.
 	hintedAddr string
+	// redirected is set if the latest attempt went to a hinted address.
+	redirected bool
 }
 
 func (q *routedRequest) route(ctx context.Context) (*core.Response, error) {
@@ -145,7 +147,7 @@
 
 func (q *routedRequest) retryInput(err *core.Error) routing.Failure {
 	f := routing.Failure{
-		Code: err.Code, Owner: err.OwnerPeerAddress, RetryAfter: err.RetryAfter,
+		Code: err.Code, Owner: err.OwnerPeerAddress, Redirected: q.redirected, RetryAfter: err.RetryAfter,
 		Idempotent: q.req.Idempotent, MayHaveReachedBackend: q.mayHaveRun,
 		BodyConsumed: !q.body.replayable(), Attempts: q.attemptsMade, Deadline: q.deadline,
 	}
@@ -172,7 +174,7 @@
 func (q *routedRequest) attempt(ctx context.Context, v *routing.View) (*core.Response, routing.Route, *core.Error) {
 	route, status := v.Lookup(q.req.Service, q.keyHash)
 	addr := q.hintedAddr
-	q.hintedAddr = ""
+	q.hintedAddr, q.redirected = "", addr != ""
 	switch {
 	case addr != "":
 	case status == routing.NoService:
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -31,6 +31,9 @@
 	Code core.Code
 	// Owner is the address of the newer owner, when the failure named one.
 	Owner string
+	// Redirected reports that the attempt went to an owner that the failure before
+	// it had named.
+	Redirected bool
 	// RetryAfter is the delay that the refusing side asked for, or zero.
 	RetryAfter time.Duration
 	Idempotent bool
@@ -117,8 +120,11 @@
 	if !uncharged && !p.Budget.SpendRetry() {
 		return p.stopWith(f, budgetCode(f, mayHaveRun))
 	}
-	d := Decision{Action: action, Owner: f.Owner}
-	if action == WaitForOwner {
+	d := Decision{Action: action}
+	switch action {
+	case RetryOwner:
+		d.Owner = f.Owner
+	case WaitForOwner:
 		d.Wait = min(remaining, p.MaxWait)
 	}
 	return d
@@ -157,9 +163,11 @@
 func actionFor(f Failure) Action {
 	switch f.Code {
 	case core.CodeNotOwner:
-		if f.Owner != "" {
+		if f.Owner != "" && !f.Redirected {
 			return RetryOwner
 		}
+		// The owner that a former owner names may not have learned of the move
+		// yet; another redirect would only go back.
 		return RefreshTable
 	case core.CodeLeaseExpired, core.CodeDraining, core.CodeNoOwner,
 		core.CodePeerUnreachable, core.CodeBackendDown:
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -190,7 +190,7 @@
 			Attempts: rapid.IntRange(1, 6).Draw(t, "attempt"),
 			Deadline: now.Add(time.Duration(rapid.Int64Range(-1e7, 1e8).Draw(t, "left")))}
 		if rapid.Bool().Draw(t, "hint") {
-			f.Owner = "10.0.0.1:1"
+			f.Owner, f.Redirected = "10.0.0.1:1", rapid.Bool().Draw(t, "redirected")
 		}
 		d := p.Decide(now, f)
 		mayHaveRun := f.MayHaveReachedBackend || !f.Code.NotRun()
@@ -216,6 +216,7 @@
 		want Action
 	}{
 		{Failure{Code: core.CodeNotOwner, Owner: "a:1"}, RetryOwner},
+		{Failure{Code: core.CodeNotOwner, Owner: "a:1", Redirected: true}, RefreshTable},
 		{Failure{Code: core.CodeNotOwner}, RefreshTable},
 		{Failure{Code: core.CodePeerUnreachable}, WaitForOwner},
 		{Failure{Code: core.CodeNoOwner}, WaitForOwner},
