node: start the uploads of a stop test where all nodes know the owner

TestStopWaitsForUpload failed now and then before the stop that it is about: an upload was refused (not-owner). Reproduced on one core beside 5 busy processes: 4 failures in 16 runs, all at this place.

Trace: the owner had two ranges, and the test's fleet counts as shared once every node has one. The key was in the second range, and the node where the upload entered still had the table before its move. It offered the upload to the former owner, which refused it.

The test guards against a stop that aborts a half-sent upload.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -438,6 +438,9 @@
 	stopping := f.nodes[2]
 	key := f.keysOwnedBy(stopping, 1)[0]
 	f.logOnFailure(key)
+	// A node with an older table offers the upload to the former owner, which
+	// refuses it, and an upload is not sent twice.
+	f.waitFor(10*time.Second, "all nodes know the owner of the key", func() bool { return f.allKnowOwner(key, stopping) })
 	half := strings.Repeat("0123456789abcdef", 4<<10)
 	sum := sha256.Sum256([]byte(half + half))
 	uploads := []*upload{f.startUpload(f.nodes[0], key), f.startUpload(stopping, key)}
@@ -480,6 +483,18 @@
 	f.nodes[2] = nil
 }
 
+// allKnowOwner reports whether the routing tables of all nodes name owner as the
+// owner of key.
+func (f *fleet) allKnowOwner(key string, owner *Node) bool {
+	for _, n := range f.nodes {
+		m, _, ok := n.routingTables.View().Table(owner.groupID()).Owner(core.HashKey(key))
+		if !ok || !m.SameRun(owner.self) {
+			return false
+		}
+	}
+	return true
+}
+
 type upload struct {
 	body   *io.PipeWriter
 	result chan uploadResult
@@ -487,6 +502,7 @@
 
 type uploadResult struct {
 	outcome string
+	reason  string
 	echo    backend.Echo
 	err     error
 }
@@ -508,7 +524,7 @@
 			return
 		}
 		defer func() { _ = resp.Body.Close() }()
-		received := uploadResult{outcome: resp.Header.Get("Marjoram-Outcome")}
+		received := uploadResult{outcome: resp.Header.Get("Marjoram-Outcome"), reason: resp.Header.Get("Marjoram-Reason")}
 		received.err = json.NewDecoder(resp.Body).Decode(&received.echo)
 		u.result <- received
 	}()
