--- a/peers/callbytes_test.go
+++ b/peers/callbytes_test.go
@@ -11,13 +11,13 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"marjoramshore.example/countconn"
 	"marjoramshore.example/shards"
 )
 
@@ -67,33 +67,12 @@
 	return head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
-// countingConn counts the bytes that are read from the connection. What the other
-// end can write depends on the socket buffers of the machine as well.
-type countingConn struct {
-	*net.TCPConn
-	read *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // countReads returns the number of bytes that c reads from its connections.
 func countReads(c *Client) *atomic.Int64 {
 	read := &atomic.Int64{}
 	for _, client := range []httpClient{c.calls, c.fresh, c.documents} {
 		transport := client.Transport.(*callTransport).http
-		dial := transport.DialContext
-		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return countingConn{conn.(*net.TCPConn), read}, nil
-		}
+		transport.DialContext = countconn.Dialer(transport.DialContext, read)
 	}
 	return read
 }
@@ -102,23 +81,6 @@
 // a limit can lie.
 const readAheadBytes = 4 << 10
 
-// countingListener counts the bytes that are read from each connection, by its
-// remote address.
-type countingListener struct {
-	net.Listener
-	read *sync.Map
-}
-
-// Accept implements net.Listener.
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	read, _ := l.read.LoadOrStore(conn.RemoteAddr().String(), &atomic.Int64{})
-	return countingConn{conn.(*net.TCPConn), read.(*atomic.Int64)}, nil
-}
-
 // Guards against an earlier answer of a node, written once more on a kept
 // connection, that extends a lease or confirms that a coordinator stepped down.
 func TestEarlierAnswerRepeatedToCall(t *testing.T) {
@@ -338,12 +300,12 @@
 
 // startCallServer runs a server that counts the StepDown calls, and the bytes
 // that it reads by the address of the other end.
-func startCallServer(t *testing.T) (string, *atomic.Int64, *sync.Map) {
+func startCallServer(t *testing.T) (string, *atomic.Int64, *countconn.Listener) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	h := countingHandler{calls: &atomic.Int64{}}
-	server, read := NewServer(h), &sync.Map{}
-	go func() { _ = server.Serve(countingListener{ln, read}) }()
+	server, read := NewServer(h), countconn.NewListener(ln)
+	go func() { _ = server.Serve(read) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return ln.Addr().String(), h.calls, read
 }
@@ -411,9 +373,9 @@
 					time.Sleep(50 * time.Millisecond)
 				}
 			}
-			n, ok := read.Load(c.LocalAddr().String())
+			n, ok := read.BytesFrom(c.LocalAddr().String())
 			must.True(t, ok)
-			must.LessEq(t, maxBytesRead, n.(*atomic.Int64).Load())
+			must.LessEq(t, maxBytesRead, n)
 			must.Eq(t, 0, calls.Load())
 		})
 	}
--- a/sidecar/httpbytes_test.go
+++ b/sidecar/httpbytes_test.go
@@ -1,13 +1,11 @@
 package sidecar
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,51 +13,21 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
-)
-
-// countingConn counts the bytes that are read from the connection. What the other
-// end can write depends on the socket buffers of the machine as well.
-type countingConn struct {
-	*net.TCPConn
-	read *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
 
-// countingListener counts the bytes that are read from each connection, by its
-// remote address.
-type countingListener struct {
-	net.Listener
-	read *sync.Map
-}
-
-// Accept implements net.Listener.
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	read, _ := l.read.LoadOrStore(conn.RemoteAddr().String(), &atomic.Int64{})
-	return countingConn{conn.(*net.TCPConn), read.(*atomic.Int64)}, nil
-}
+	"marjoramshore.example/countconn"
+)
 
 // startPlatformListener serves the listener for status reports or readiness
 // checks and counts the requests that reach its handler, and the bytes that are
 // read by the address of the other end.
-func startPlatformListener(t *testing.T) (string, *atomic.Int64, *sync.Map) {
+func startPlatformListener(t *testing.T) (string, *atomic.Int64, *countconn.Listener) {
 	requests := &atomic.Int64{}
 	s, err := newHTTPServer("127.0.0.1:0", &log.Logger{Handler: discard.Default}, func(http.ResponseWriter, *http.Request, []byte) { requests.Add(1) })
 	must.NoError(t, err)
-	read := &sync.Map{}
-	s.listener = countingListener{s.listener, read}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go s.serve(ctx)
+	read := countconn.NewListener(s.listener)
+	s.listener = read
+	t.Cleanup(s.close)
+	go s.serve(t.Context())
 	return s.listener.Addr().String(), requests, read
 }
 
@@ -138,10 +106,10 @@
 					break
 				}
 			}
-			n, ok := read.Load(c.LocalAddr().String())
+			n, ok := read.BytesFrom(c.LocalAddr().String())
 			must.True(t, ok)
 			must.Less(t, 2*serverReadTimeout, time.Since(start))
-			must.LessEq(t, maxBytesRead, n.(*atomic.Int64).Load())
+			must.LessEq(t, maxBytesRead, n)
 			must.Eq(t, 0, requests.Load())
 		})
 	}
--- a/telemetry/metricsbytes_test.go
+++ b/telemetry/metricsbytes_test.go
@@ -5,53 +5,22 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
-)
-
-// countingConn counts the bytes that are read from the connection. What the other
-// end can write depends on the socket buffers of the machine as well.
-type countingConn struct {
-	*net.TCPConn
-	read *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
 
-// countingListener counts the bytes that are read from each connection, by its
-// remote address.
-type countingListener struct {
-	net.Listener
-	read *sync.Map
-}
-
-// Accept implements net.Listener.
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	read, _ := l.read.LoadOrStore(conn.RemoteAddr().String(), &atomic.Int64{})
-	return countingConn{conn.(*net.TCPConn), read.(*atomic.Int64)}, nil
-}
+	"marjoramshore.example/countconn"
+)
 
 // startMetricsServer returns the address of a server, and the bytes that it reads
 // by the address of the other end.
-func startMetricsServer(t *testing.T) (string, *sync.Map) {
+func startMetricsServer(t *testing.T) (string, *countconn.Listener) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	read := &sync.Map{}
-	s := NewMetricsServer(countingListener{ln, read}, metrics.NewRegistry())
+	read := countconn.NewListener(ln)
+	s := NewMetricsServer(read, metrics.NewRegistry())
 	go func() { _ = s.Serve() }()
 	t.Cleanup(func() { _ = s.Shutdown(t.Context()) })
 	return ln.Addr().String(), read
@@ -115,10 +84,10 @@
 					_, err = io.WriteString(c, block)
 				}
 			}
-			n, ok := read.Load(c.LocalAddr().String())
+			n, ok := read.BytesFrom(c.LocalAddr().String())
 			must.True(t, ok)
 			must.Less(t, 20*time.Second, time.Since(start))
-			must.LessEq(t, maxBytesRead, n.(*atomic.Int64).Load())
+			must.LessEq(t, maxBytesRead, n)
 		})
 	}
 }
--- a/transport/bytes_test.go
+++ b/transport/bytes_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 	"marjoramshore.example/core"
+	"marjoramshore.example/countconn"
 	"marjoramshore.example/transport/peerv1/peerv1connect"
 )
 
@@ -89,11 +90,8 @@
 		close(closed)
 	})
 	client := newTestClient(t)
-	read, dial := &atomic.Int64{}, client.transport.DialContext
-	client.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		return countingConn{conn, read}, err
-	}
+	read := &atomic.Int64{}
+	client.transport.DialContext = countconn.Dialer(client.transport.DialContext, read)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	start := time.Now()
@@ -109,20 +107,6 @@
 	must.LessEq(t, maxBytesRead, read.Load())
 }
 
-// countingConn counts the bytes that are read from the connection. What the peer
-// can write depends on the socket buffers of the machine as well.
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // Guards against a control message or a message of an exchange without end that
 // is handled or keeps being read.
 func TestMessageWithoutEnd(t *testing.T) {
