soak: a backend server that names a limit, and a check that it is kept

The check "limit" reports more than one and a half times of it in 4 s, and 5 requests, from 3 s after the first request. Times in which a node restarts or is delayed are excused, since such a node may not know the limit yet. Without the flag runs are as before, and plans do not change.

Evidence: TestRateLimitCheck.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -20,6 +20,7 @@
 	firstSeed                                                      uint64
 	seedCount, keyedNodes, plainNodes, requestRate, callersPerNode int
 	disturbFor, meanGap                                            time.Duration
+	rateLimit                                                      float64
 	plannedOnly, overlap, slow, verbose                            bool
 }
 
@@ -42,13 +43,14 @@
 	sub.String(&f.kinds, "k", "kinds", "Kinds of disturbances, separated by commas; default is all.")
 	sub.Bool(&f.overlap, "o", "overlap", "Only planned operations, in bursts that stop several nodes while others restart, reload and get configurations.")
 	sub.Bool(&f.slow, "", "slow", "Give each process one processor, in short turns.")
+	sub.Float64(&f.rateLimit, "", "limit", "Requests per second that the backend server of the last node names as its limit; 0 names none.")
 	sub.Bool(&f.verbose, "v", "verbose", "Print each disturbance.")
 	return command{sub, f.run}
 }
 
 func (f *soakFlags) run(ctx context.Context, o streams) int {
-	if f.keyedNodes < 1 || f.plainNodes < 1 || f.requestRate < 1 || f.callersPerNode < 1 || f.seedCount < 1 || f.disturbFor <= 0 || f.meanGap <= 0 {
-		return o.fail(exitUsage, &soak.OptionsError{Detail: "keyed, plain, rate, callers, seeds, trouble and gap must be positive"})
+	if f.keyedNodes < 1 || f.plainNodes < 1 || f.requestRate < 1 || f.callersPerNode < 1 || f.seedCount < 1 || f.disturbFor <= 0 || f.meanGap <= 0 || f.rateLimit < 0 {
+		return o.fail(exitUsage, &soak.OptionsError{Detail: "keyed, plain, rate, callers, seeds, trouble and gap must be positive, and limit not negative"})
 	}
 	if err := f.setDefaults(); err != nil {
 		return o.fail(exitFailure, err)
@@ -67,7 +69,7 @@
 		seed := f.firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{
 			Binary: f.binary, Dir: filepath.Join(f.dir, strconv.FormatUint(seed, 10)), Seed: seed, PerSecond: f.requestRate, CallersPerNode: f.callersPerNode, Out: out,
-			Shape: soak.Shape{Keyed: f.keyedNodes, Plain: f.plainNodes, Trouble: f.disturbFor, Planned: f.plannedOnly, Overlap: f.overlap, Slow: f.slow, Kinds: kinds, Gap: f.meanGap},
+			Shape: soak.Shape{Keyed: f.keyedNodes, Plain: f.plainNodes, Trouble: f.disturbFor, Planned: f.plannedOnly, Overlap: f.overlap, Slow: f.slow, Kinds: kinds, Gap: f.meanGap, RateLimit: f.rateLimit},
 		})
 		if err != nil {
 			return o.fail(exitFailure, err)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -21,6 +21,12 @@
 	// withdrawalTime is the time after the end of a caller's connection within
 	// which its request may still reach a backend server.
 	withdrawalTime = 500 * time.Millisecond
+	// From limitKnownTime after a backend server first names its limit, it may get
+	// limitTolerance times the limit, plus limitSlack requests, in limitWindow.
+	limitKnownTime = 3 * time.Second
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
 	// requestReadTime is the time within which a node has read a request that
 	// was sent to it. A request that was cut off earlier may not have been read.
 	requestReadTime = 200 * time.Millisecond
@@ -117,6 +123,16 @@
 // ServerExit records that a backend server ended and so holds no keys any more.
 type ServerExit struct{ Server string }
 
+// ServerLimit records that a backend server names a limit, in requests a second,
+// in all its answers.
+type ServerLimit struct {
+	Server    string
+	PerSecond float64
+}
+
+// NodeExit records that the process of a node has ended.
+type NodeExit struct{ At time.Duration }
+
 // LeaveAck records that a node acknowledged the leave of a backend server.
 type LeaveAck struct {
 	At     time.Duration
@@ -165,6 +181,12 @@
 	until time.Duration
 }
 
+// limitedServer is a backend server that names a limit.
+type limitedServer struct {
+	perSecond float64
+	starts    []time.Duration
+}
+
 // Checker applies the events of a run and checks the guarantees of the product
 // against them. One goroutine owns it.
 type Checker struct {
@@ -173,8 +195,11 @@
 	fences   [keyCount]int64  // highest fence of each key
 	owners   [keyCount]string // backend server that was last granted the key
 	// leftAt is when the leave of a backend server was first acknowledged.
-	leftAt      map[string]time.Duration
-	faults      []FaultPeriod
+	leftAt    map[string]time.Duration
+	faults    []FaultPeriod
+	nodeExits []time.Duration
+	// limited are the backend servers that name a limit.
+	limited     map[string]*limitedServer
 	cutRequests []RequestEnd // connected, but without a complete response
 	violations  []Violation
 	counts      Counts
@@ -197,7 +222,7 @@
 
 // NewChecker returns a Checker without events.
 func NewChecker() *Checker {
-	return &Checker{requests: make(map[string]*request), holders: make(map[string]*holder), leftAt: make(map[string]time.Duration)}
+	return &Checker{requests: make(map[string]*request), holders: make(map[string]*holder), leftAt: make(map[string]time.Duration), limited: make(map[string]*limitedServer)}
 }
 
 func (c *Checker) addViolation(at time.Duration, rule, format string, args ...any) {
@@ -223,6 +248,9 @@
 	if at, ok := c.leftAt[e.Server]; ok && e.At > at+drainTime {
 		c.addViolation(e.At, "drain", "request %s reached %s %v after its leave was acknowledged", e.Execution.ID, e.Server, e.At-at)
 	}
+	if s := c.limited[e.Server]; s != nil {
+		s.starts = append(s.starts, e.At)
+	}
 	r := c.requests[e.Execution.ID]
 	if r == nil {
 		c.addViolation(e.At, "unasked", "%s executed %s %s with unknown attempt ID %q", e.Server, e.Execution.Method, e.Execution.Target, e.Execution.ID)
@@ -301,6 +329,10 @@
 
 func (e ServerExit) apply(c *Checker) { delete(c.holders, e.Server) }
 
+func (e ServerLimit) apply(c *Checker) { c.limited[e.Server] = &limitedServer{perSecond: e.PerSecond} }
+
+func (e NodeExit) apply(c *Checker) { c.nodeExits = append(c.nodeExits, e.At) }
+
 func (e LeaveAck) apply(c *Checker) {
 	if _, ok := c.leftAt[e.Server]; !ok {
 		c.leftAt[e.Server] = e.At
@@ -405,6 +437,7 @@
 		}
 	}
 	c.checkWithdrawals()
+	c.checkRateLimits()
 	c.checkRetryBudget()
 	slices.SortFunc(c.violations, func(a, b Violation) int { return int(a.At - b.At) })
 	return c.violations, c.counts
@@ -425,6 +458,26 @@
 	}
 }
 
+// checkRateLimits checks that each backend server that names a limit gets no more
+// requests than the limit allows. A node that has started again does not know the
+// limit at once.
+func (c *Checker) checkRateLimits() {
+	for name, s := range c.limited {
+		allowed := limitTolerance*s.perSecond*limitWindow.Seconds() + limitSlack
+		for i, from := range s.starts {
+			to := from + limitWindow
+			restarted := slices.ContainsFunc(c.nodeExits, func(at time.Duration) bool { return at <= to && from <= at+restartDelay+limitKnownTime })
+			if from < s.starts[0]+limitKnownTime || restarted || c.areNodesDelayed(from, to) {
+				continue
+			}
+			if n := countWithin(s.starts[i:], from, to); float64(n) > allowed {
+				c.addViolation(from, "limit", "%s got %d requests within %v; its limit allows %.0f", name, n, limitWindow, allowed)
+				break
+			}
+		}
+	}
+}
+
 // areNodesDelayed reports whether a disturbance that delays nodes has effects
 // between from and to.
 func (c *Checker) areNodesDelayed(from, to time.Duration) bool {
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,6 +119,30 @@
 	must.Eq(t, "budget", found[0].Rule)
 }
 
+// Guards against a limit check that accepts any number of requests, or that counts
+// those of nodes that cannot know the limit yet.
+func TestRateLimitCheck(t *testing.T) {
+	for name, test := range map[string]struct {
+		excuse Event
+		want   int
+	}{
+		"known limit": {LeaveAck{}, 1}, "restarted node": {NodeExit{5 * time.Second}, 0}, "paused node": {FaultPeriod{0, 6 * time.Second, Pause}, 0},
+	} {
+		checker := NewChecker()
+		ServerLimit{"s1", 2}.apply(checker)
+		test.excuse.apply(checker)
+		for i := range 33 { // 18 in 4 s, where 17 are allowed
+			start := requestStart(fmt.Sprint("a", i), "s1")
+			start.At += time.Duration(i) * 230 * time.Millisecond
+			sentRequest(start.Execution.ID, false).apply(checker)
+			start.apply(checker)
+		}
+		found, _ := checker.Finish()
+		limits := slices.DeleteFunc(found, func(v Violation) bool { return v.Rule != "limit" })
+		must.SliceLen(t, test.want, limits, must.Sprint(name, found))
+	}
+}
+
 // Guards against a recovery check that passes when no request was sent, or with
 // fewer answered requests than minAnsweredRatio demands.
 func TestAnsweredRatioCheckNeedsRequests(t *testing.T) {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -133,6 +133,9 @@
 	Kinds []Kind
 	// Gap is the mean time between two disturbances, or bursts.
 	Gap time.Duration
+	// RateLimit is the limit, in requests a second, that the backend server of the
+	// last node names in its answers, or 0.
+	RateLimit float64
 }
 
 // onlyPlanned reports whether the plan has no faults, so that no link to a node
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -78,12 +78,17 @@
 	// of the run.
 	lastExit   atomic.Int64
 	supervisor sync.WaitGroup
+	// rateLimit is the limit that the backend server names, or 0.
+	rateLimit float64
 }
 
 // newVM writes the settings of a node and starts its links, its process and its
 // backend server.
 func newVM(r *run, index int, service string) (*vm, error) {
 	v := &vm{run: r, serverTurn: make(chan struct{}, 1), name: fmt.Sprintf("node-%d", index), service: service, ip: loopback.IP(0, r.opts.FirstAddress+index), proxyIP: loopback.IP(1, r.opts.FirstAddress+index)}
+	if index == r.opts.Shape.Nodes()-1 {
+		v.rateLimit = r.opts.Shape.RateLimit
+	}
 	v.settingsFile = filepath.Join(r.opts.Dir, v.name+".conf")
 	dataCentre := string(rune('a' + index%3))
 	settings := wire.VM{Node: v.name, DataCentre: dataCentre, IP: v.ip, Service: service, Store: v.proxyIP}.EncodeSettings(settingsBounds)
@@ -123,6 +128,10 @@
 	address, cfg := v.ip+":"+strconv.Itoa(wire.PortBackend), keyed.Config{
 		Service: v.service, Instance: name, ReportAddress: v.ip + ":" + strconv.Itoa(wire.PortReports), Sharded: v.service == keyedService,
 		Slots: serverSlots, ServiceTime: workTime, ReportInterval: reportInterval, Observer: observer{v.run, v.service},
+		RateLimit: v.rateLimit,
+	}
+	if v.rateLimit > 0 {
+		v.run.record(ServerLimit{name, v.rateLimit})
 	}
 	server, err := keyed.Start(address, cfg)
 	for end := v.run.elapsed() + addressFreeTime; errors.Is(err, syscall.EADDRINUSE) && v.run.elapsed() < end && v.run.sleep(v.run.ctx, pollInterval); {
@@ -162,6 +171,7 @@
 		v.process.Store(cmd.Process)
 		err := cmd.Wait()
 		v.lastExit.Store(int64(v.run.elapsed()))
+		v.run.record(NodeExit{v.run.elapsed()})
 		if v.stopping.Load() {
 			return
 		}
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -33,6 +33,9 @@
 	ServiceTime time.Duration
 	// ReportInterval is the time between two status reports.
 	ReportInterval time.Duration
+	// RateLimit is the number of requests a second that each answer names as the
+	// server's limit, or 0.
+	RateLimit float64
 	// Observer is told what the server observes, when not nil.
 	Observer Observer
 }
@@ -221,6 +224,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(wire.HeaderAttemptID)
 	w.Header().Set(wire.HeaderAttemptID, id)
+	if s.cfg.RateLimit > 0 {
+		w.Header().Set(wire.HeaderRateLimit, strconv.FormatFloat(s.cfg.RateLimit, 'f', -1, 64))
+	}
 	expectedInstance := r.Header.Get(wire.HeaderInstance)
 	key, _ := strconv.Atoi(r.Header.Get(wire.HeaderKey))
 	if s.refusesFirst(r) {
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -18,6 +18,7 @@
 	HeaderInstance    = "X-Marjoramshore-Expected-Instance"
 	HeaderNotExecuted = "X-Marjoramshore-Not-Executed"
 	HeaderSignature   = "X-Marjoramshore-Response-Signature"
+	HeaderRateLimit   = "Server-Limit"
 )
 
 // SettingsVariable is the environment variable with the path of the settings
