--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -12,7 +12,7 @@
 // service gets at most Ratio times its requests plus MinRetries retries.
 type RetryBudgetConfig struct {
 	Ratio      float64
-	MinRetries int
+	MinRetries float64
 	Window     time.Duration
 }
 
@@ -87,7 +87,7 @@
 	b.advancedAt = now
 	b.currentStep = (b.currentStep + 1) % windowSteps
 	b.addServices(services)
-	minRetries := minRetriesShare * float64(b.cfg.MinRetries) / float64(max(1, nodes))
+	minRetries := minRetriesShare * b.cfg.MinRetries / float64(max(1, nodes))
 	for _, budget := range *b.services.Load() {
 		budget.requestsByStep[b.currentStep] = budget.requests.Swap(0)
 		budget.retriesByStep[b.currentStep] = budget.retries.Swap(0)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -107,7 +107,7 @@
 		for _, n := range taken[from : from+windowSteps] {
 			sum += n
 		}
-		must.LessEq(t, cfg.Ratio*perWindow+float64(cfg.MinRetries), float64(sum))
+		must.LessEq(t, cfg.Ratio*perWindow+cfg.MinRetries, float64(sum))
 	}
 }
 
--- a/routes/config.go
+++ b/routes/config.go
@@ -60,8 +60,23 @@
 	// Warmup is how long requests for a key are slow on a backend server that
 	// was assigned the key without the state of its former holder.
 	Warmup time.Duration
+	// Grants is how the keys of a sharded service are granted.
+	Grants GrantMode
 }
 
+// GrantMode is how backend servers are granted keys.
+type GrantMode uint8
+
+const (
+	// GrantUnspecified leaves the choice to the settings of the node.
+	GrantUnspecified GrantMode = iota
+	// GrantByReport grants keys in the answers to status reports.
+	GrantByReport
+	// GrantByCall grants keys and takes them back by calls to the backend
+	// server.
+	GrantByCall
+)
+
 // Limits bounds the requests and connections of callers.
 type Limits struct {
 	MaxHeaderBytes int
