shards, sidecar: grant keys to backend servers by calls

Cause: the settings say grants=direct there; nothing read it, and keys were granted only in answers to status reports.

Change: the member decides on grants, renewals and releases by calls, beside the way by reports; sidecar/keys queues the calls and sidecar/backend makes them. The way comes from the service or the settings and may change while the service runs. The stand-in for backend servers takes such calls, also late or without an answer.

--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -41,6 +41,10 @@
 	node        core.NodeID
 	incarnation core.Incarnation
 
+	// fencesPerRow is the number of fences, from that of a row up, which a member
+	// may use for the row.
+	fencesPerRow int64
+
 	active   bool
 	stopping bool
 	record   Assignment
@@ -76,6 +80,15 @@
 	return &Coordinator{timing: timing, node: node, incarnation: incarnation, memberStates: make(map[core.NodeID]*memberState), withheldHolders: make(map[Holder]bool)}
 }
 
+// GrantByCall selects whether members grant rows by calls and use up to
+// FencesPerRow fences for a row.
+func (c *Coordinator) GrantByCall(byCall bool) {
+	c.fencesPerRow = 1
+	if byCall {
+		c.fencesPerRow = FencesPerRow
+	}
+}
+
 // Active reports whether this node is the coordinator.
 func (c *Coordinator) Active() bool { return c.active }
 
--- a/shards/member.go
+++ b/shards/member.go
@@ -8,47 +8,9 @@
 	"marjoramshore.example/core"
 )
 
-const (
-	// maxClockLag bounds by how much a backend server's clock may be slow while
-	// it counts a hold. The platform specifies 2%.
-	maxClockLag = 0.02
-	// holdMargin is the least time between the end of a hold and the end of the
-	// lease.
-	holdMargin = 20 * time.Millisecond
-)
-
-// BackendReport is what a backend server reports of its keys.
-type BackendReport struct {
-	Holder Holder
-	// Ready is false once the run is about to stop.
-	Ready bool
-	Slots int
-	// Demand is as in LeaseRequest.
-	Demand float64
-	// Holds are the spans that the run holds or still works on.
-	Holds []Row
-	// Freed are the spans released since the last report that was acknowledged.
-	Freed []Row
-}
-
-// Grant is the answer to a BackendReport: all rows that the run may hold.
-// HoldTime counts from when the run sent the report; zero renews nothing.
-type Grant struct {
-	Rows     []Row
-	HoldTime time.Duration
-}
-
-// grantedRow is a row that was granted to the present run.
-type grantedRow struct {
-	Row
-	// holdEnd is the latest instant at which the run's hold ends.
-	holdEnd clock.Instant
-	// inLastGrant is false once the row was left out of a later grant.
-	inLastGrant bool
-}
-
-// Member passes the coordinator's rows on to the backend server beside it. Its
-// methods must not be called concurrently.
+// Member passes the coordinator's rows on to the backend server beside it, in the
+// answers to its status reports or, once GrantByCall was called, by calls of its
+// own. Its methods must not be called concurrently.
 type Member struct {
 	service     core.Service
 	node        core.NodeID
@@ -64,8 +26,14 @@
 	rowsVersion uint64
 	leaseEnd    clock.Instant
 	rows        []Row
-
-	granted       []grantedRow
+	// requestedFor is the run of which the last request told.
+	requestedFor Holder
+
+	// byCall selects the way of granting rows. The rows that were granted the
+	// other way stay recorded until their holds end.
+	byCall bool
+	reportGrants
+	calls         callGrants
 	recalled      []Row // rows that the coordinator has recalled
 	releases      []Release
 	lastReleaseID uint64
@@ -110,7 +78,8 @@
 		m.endedRuns = m.endedRuns[1:]
 	}
 	if m.holder == h {
-		m.holder, m.ready, m.granted = NoHolder, false, nil
+		m.holder, m.ready = NoHolder, false
+		m.forgetGrants()
 	}
 }
 
@@ -126,14 +95,58 @@
 // MarkLeaving records that the present run accepts no more keys.
 func (m *Member) MarkLeaving() { m.ready = false }
 
-// HandleReport takes in a report of the backend server and returns its grant.
+// GrantByCall selects whether rows are granted by calls. Rows that the run may
+// still hold by the other way are not released before those holds have ended.
+func (m *Member) GrantByCall(byCall bool) {
+	if m.byCall != byCall {
+		m.byCall = byCall
+		for _, way := range m.ways() {
+			way.leaveAll()
+		}
+	}
+}
+
+// grantWay is a way of granting rows to a run, which remembers what the run may
+// hold by it.
+type grantWay interface {
+	// mayHold reports whether the run may hold a part of a span.
+	mayHold(s Span) bool
+	// dropExpired forgets the rows that the run can hold no more.
+	dropExpired(now clock.Instant)
+	// leaveAll makes the rows unusable until they are granted again.
+	leaveAll()
+	// forget drops all rows, because the run has ended.
+	forget()
+}
+
+// ways returns both ways of granting rows.
+func (m *Member) ways() [2]grantWay { return [2]grantWay{&m.reportGrants, &m.calls} }
+
+// mayHold reports whether the run may hold a part of a span by either way.
+func (m *Member) mayHold(s Span) bool { return m.reportGrants.mayHold(s) || m.calls.mayHold(s) }
+
+// forgetGrants drops what was granted to a run that has ended.
+func (m *Member) forgetGrants() {
+	for _, way := range m.ways() {
+		way.forget()
+	}
+}
+
+// HandleReport takes in a report of the backend server and returns its grant,
+// which is empty while rows are granted by calls.
 func (m *Member) HandleReport(now clock.Instant, r BackendReport) Grant {
 	if r.Holder != m.holder {
 		m.EndRun(m.holder)
-		m.holder, m.granted = r.Holder, nil
+		m.holder = r.Holder
+		m.forgetGrants()
 		m.endedRuns = slices.DeleteFunc(m.endedRuns, func(h Holder) bool { return h == r.Holder })
 	}
 	m.ready, m.slots, m.demand = r.Ready, r.Slots, r.Demand
+	m.calls.awaitsReport = false
+	if m.byCall {
+		return Grant{}
+	}
+	m.calls.dropExpired(now)
 	for _, freed := range r.Freed {
 		m.releaseSpan(freed.Span, freed.Handover)
 	}
@@ -142,65 +155,18 @@
 	return m.nextGrant(now, r.Holds)
 }
 
-// releaseSpan records that the run released a span. Rows of the last grant are
-// not affected.
-func (m *Member) releaseSpan(s Span, handover string) {
-	kept := m.granted[:0:0]
-	for _, g := range m.granted {
-		if g.inLastGrant || !g.Overlaps(s) {
-			kept = append(kept, g)
-			continue
-		}
-		part := Span{max(g.From, s.From), min(g.To, s.To)}
-		m.queueRelease(Release{Span: part, Holder: m.holder, Fence: g.Fence, Handover: handover})
-		kept = append(kept, g.subtract(part)...)
-	}
-	m.granted = kept
-}
-
-// subtract returns the parts of g that lie outside s.
-func (g grantedRow) subtract(s Span) []grantedRow {
-	var out []grantedRow
-	if g.From < s.From {
-		left := g
-		left.To = s.From - 1
-		out = append(out, left)
-	}
-	if g.To > s.To {
-		right := g
-		right.From = s.To + 1
-		out = append(out, right)
-	}
-	return out
-}
-
 func (m *Member) queueRelease(release Release) {
 	m.lastReleaseID++
 	release.ID = m.lastReleaseID
 	m.releases = append(m.releases, release)
 }
 
-// releaseExpired releases rows that were left out of the last grant, whose hold
-// has ended, and which the run neither holds nor works on.
-func (m *Member) releaseExpired(now clock.Instant, holds []Row) {
-	kept := m.granted[:0]
-	for _, g := range m.granted {
-		if g.inLastGrant || now.Before(g.holdEnd) || overlapsAnyRow(g.Span, holds) {
-			kept = append(kept, g)
-			continue
-		}
-		m.queueRelease(Release{Span: g.Span, Holder: m.holder, Fence: g.Fence})
-	}
-	m.granted = kept
-}
-
 // releaseUngranted releases recalled rows that were never granted, for example
 // because the grant had no room for them.
 func (m *Member) releaseUngranted() {
 	for _, r := range m.recalled {
-		wasGranted := slices.ContainsFunc(m.granted, func(g grantedRow) bool { return g.Overlaps(r.Span) })
 		alreadyReleased := slices.ContainsFunc(m.releases, func(release Release) bool { return release.Overlaps(r.Span) && release.Fence == r.Fence })
-		if r.Holder == m.holder && !wasGranted && !alreadyReleased {
+		if r.Holder == m.holder && !m.mayHold(r.Span) && !alreadyReleased {
 			m.queueRelease(Release{Span: r.Span, Holder: r.Holder, Fence: r.Fence})
 		}
 	}
@@ -209,7 +175,7 @@
 // ReleaseSilentRun releases the rows of a leaving run that stopped reporting,
 // once all its holds have ended. It reports whether it released any.
 func (m *Member) ReleaseSilentRun(now clock.Instant) bool {
-	if m.holder == NoHolder || m.ready || len(m.granted) == 0 {
+	if m.holder == NoHolder || m.ready || m.byCall || len(m.granted) == 0 {
 		return false
 	}
 	for _, g := range m.granted {
@@ -224,85 +190,15 @@
 	return true
 }
 
-func overlapsAnyRow(s Span, rows []Row) bool {
-	for _, r := range rows {
-		if s.Overlaps(r.Span) {
-			return true
-		}
-	}
-	return false
-}
-
-// nextGrant returns and records what the run may hold from now on.
-func (m *Member) nextGrant(now clock.Instant, holds []Row) Grant {
-	hold := min(m.leaseEnd.Sub(now)-holdMargin, m.maxHold)
-	hold = time.Duration(float64(hold) / (1 + maxClockLag))
-	if hold <= 0 || m.holder == NoHolder {
-		return Grant{}
-	}
-	rows := selectFitting(m.grantableRows(), holds)
-	until := now.Add(time.Duration(float64(hold) * (1 + maxClockLag)))
-	m.recordGrant(rows, until)
-	return Grant{Rows: rows, HoldTime: hold}
-}
-
-const (
-	// maxGrantBytes bounds the encoded rows in one answer to a backend server,
-	// which accepts 4 KiB.
-	maxGrantBytes = 3900
-	// rowOverheadBytes is the size of an encoded row without its numbers and
-	// its handover: brackets, quotes and commas.
-	rowOverheadBytes = 8
-)
-
-// encodedSize returns the bytes of an encoded row.
-func encodedSize(r Row) int {
-	return rowOverheadBytes + countDigits(int64(r.From)) + countDigits(int64(r.To)) + countDigits(r.Fence) + len(r.Handover)
-}
-
-// countDigits returns the length of n in decimal, with its sign.
-func countDigits(n int64) int {
-	count := 1
-	if n < 0 {
-		count++
-	}
-	for n /= 10; n != 0; n /= 10 {
-		count++
-	}
-	return count
-}
-
-// selectFitting returns the rows that fit into one answer. Rows that the run
-// already holds come first. The others are granted after a later report, when
-// handovers that were taken no longer use space.
-func selectFitting(rows, held []Row) []Row {
-	bytesLeft := maxGrantBytes
-	out := make([]Row, 0, len(rows))
-	others := make([]Row, 0, len(rows))
-	for _, r := range rows {
-		if !isHeld(&r, held) {
-			others = append(others, r)
-			continue
-		}
-		r.Handover = "" // the run has taken it
-		bytesLeft -= encodedSize(r)
-		out = append(out, r)
-	}
-	for _, r := range others {
-		if bytes := encodedSize(r); bytes <= bytesLeft {
-			bytesLeft -= bytes
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b Row) int { return a.From - b.From })
-	return out
-}
-
 // grantableRows returns the coordinator's rows for the present run except those
 // that it has released.
-func (m *Member) grantableRows() []Row {
+func (m *Member) grantableRows() []Row { return m.withoutReleased(m.rows) }
+
+// withoutReleased returns the parts of rows of the present run that it has not
+// released.
+func (m *Member) withoutReleased(rows []Row) []Row {
 	var out []Row
-	for _, r := range m.rows {
+	for _, r := range rows {
 		if r.Holder == m.holder {
 			out = append(out, r)
 		}
@@ -323,68 +219,23 @@
 	return out
 }
 
-// recordGrant records the rows of a grant, which are sorted and do not overlap.
-// Parts of earlier grants that they do not cover stay recorded, because the run
-// may still hold them.
-func (m *Member) recordGrant(rows []Row, until clock.Instant) {
-	next := make([]grantedRow, 0, max(len(m.granted), len(rows)))
-	for _, g := range m.granted {
-		g.inLastGrant = false
-		next = appendUncovered(next, g, rows)
-	}
-	for _, r := range rows {
-		next = append(next, grantedRow{Row: r, holdEnd: until, inLastGrant: true})
-	}
-	m.granted = next
-}
-
-// appendUncovered appends the parts of g that none of the rows covers. The rows
-// are sorted and do not overlap.
-func appendUncovered(out []grantedRow, g grantedRow, rows []Row) []grantedRow {
-	first, _ := slices.BinarySearchFunc(rows, g.From, func(r Row, from int) int { return r.To - from })
-	for _, r := range rows[first:] {
-		if r.From > g.To {
-			break
-		}
-		if g.From < r.From {
-			left := g
-			left.To = r.From - 1
-			out = append(out, left)
-		}
-		g.From = r.To + 1
-	}
-	if g.From <= g.To {
-		out = append(out, g)
-	}
-	return out
-}
-
-// isHeld reports whether one held row covers r under the same fence.
-func isHeld(r *Row, held []Row) bool {
-	for i := range held {
-		if h := &held[i]; h.From <= r.From && r.To <= h.To && h.Fence == r.Fence {
-			return true
-		}
-	}
-	return false
+// UsableRow is a row for which the run may begin requests until HoldEnd.
+type UsableRow struct {
+	Row
+	HoldEnd clock.Instant
 }
 
-// UsableRows returns the rows on which the run may begin requests, and the end
-// of its hold.
-func (m *Member) UsableRows() ([]Row, clock.Instant) {
-	rows := make([]Row, 0, len(m.granted))
-	var until clock.Instant
-	for _, g := range m.granted {
-		if g.inLastGrant {
-			rows = append(rows, g.Row)
-			until = g.holdEnd
-		}
+// UsableRows returns the rows on which the run may begin requests, sorted by key.
+func (m *Member) UsableRows() []UsableRow {
+	if m.byCall {
+		return m.calls.usable(m.leaseEnd)
 	}
-	return rows, until
+	return m.reportGrants.usable()
 }
 
 // BuildRequest returns the next request to the coordinator.
 func (m *Member) BuildRequest() LeaseRequest {
+	m.requestedFor = m.holder
 	return LeaseRequest{
 		Service: m.service, Node: m.node, Incarnation: m.incarnation, Term: m.term,
 		Holder: m.holder, Ready: m.ready, Slots: m.slots, Demand: m.demand,
@@ -407,8 +258,10 @@
 	if a.Version != m.rowsVersion {
 		m.rowsVersion, m.rows = a.Version, a.Rows
 	}
+	m.calls.noteFirstRows(sentAt, m.requestedFor, append(slices.Clone(m.rows), a.Return...))
 	m.recalled = a.Return
 	m.dropAcknowledged(a.FreedThrough)
+	m.calls.noteLapse(sentAt, m.leaseEnd)
 	if until := sentAt.Add(a.Lease); a.Lease > 0 && until.After(m.leaseEnd) {
 		m.leaseEnd = until
 	}
--- a/shards/plan.go
+++ b/shards/plan.go
@@ -29,10 +29,22 @@
 	}
 	next.Rows = rows
 	next.NextFence = c.record.NextFence + 1
+	if c.fencesPerRow > 1 {
+		next.NextFence = max(next.NextFence, greatestFence(rows)+c.fencesPerRow)
+	}
 	c.beginWrite(rows)
 	return next, true
 }
 
+// greatestFence returns the greatest fence of the rows.
+func greatestFence(rows []Row) int64 {
+	greatest := int64(0)
+	for _, r := range rows {
+		greatest = max(greatest, r.Fence)
+	}
+	return greatest
+}
+
 // needsAssignment reports whether any row may need another holder. It spares
 // most plans a pass over the record, which has thousands of rows.
 func (c *Coordinator) needsAssignment(now clock.Instant) bool {
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -195,10 +195,11 @@
 		return gate.Permit{}, core.Wrap(core.CodeInvalid, err, "malformed key")
 	}
 	rows := p.cfg.KeyController().UsableRows()
-	if rows == nil || rows.Holder.Instance != req.Instance || !rows.Covers(now, key) {
+	holdEnd := rows.HoldEnd(key)
+	if !now.Before(holdEnd) || rows.Holder.Instance != req.Instance {
 		return gate.Permit{}, core.Fail(core.CodeNotOwner, "the expected run of the backend server does not hold the key")
 	}
-	return gate.Permit{LeaseLeft: rows.HoldEnd.Sub(now)}, nil
+	return gate.Permit{LeaseLeft: holdEnd.Sub(now)}, nil
 }
 
 // Serve implements core.Handler.
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -85,6 +85,8 @@
 type Ack struct {
 	// OK acknowledges the report.
 	OK bool
+	// Current is set for the newest report of the present run.
+	Current bool
 	// Sharded reports that the run takes part in the key assignment. Grant is
 	// valid only then.
 	Sharded bool
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -20,13 +20,14 @@
 		return Ack{}, false
 	}
 	ack, ok := reply.Wait(ctx)
-	if !ok || !ack.OK || !ack.Sharded {
+	if !ok || !ack.OK || !ack.Current {
 		return ack, ok
 	}
 	controller := p.cfg.KeyController()
-	if controller == nil {
+	if controller == nil || !r.Sharded && !controller.GrantsByCall() {
 		return ack, true
 	}
+	ack.Sharded = r.Sharded
 	ack.Grant, ok = controller.HandleReport(ctx, shards.BackendReport{
 		Holder: p.holderOf(r), Ready: !r.Leaving, Slots: r.Slots, Holds: r.Held, Freed: r.Freed,
 		Demand: p.Demand(),
@@ -86,7 +87,7 @@
 	} else if st.run.Ended && !st.run.Leaving {
 		st.resumeRun()
 	}
-	return Ack{OK: true, Sharded: r.Sharded}
+	return Ack{OK: true, Current: true}
 }
 
 // beginRun replaces the present run by a new one.
--- a/sidecar/keys/duty.go
+++ b/sidecar/keys/duty.go
@@ -60,6 +60,15 @@
 	err    error
 }
 
+// modeChange selects the way of granting keys.
+type modeChange struct{ byCall bool }
+
+// callOutcome is the outcome of a call to the backend server.
+type callOutcome struct {
+	call   shards.Call
+	result shards.CallResult
+}
+
 // writeResult is the outcome of a write of the record.
 type writeResult struct {
 	sentAt   clock.Instant
@@ -99,7 +108,6 @@
 	writing    bool
 	reading    bool
 	lastRead   clock.Instant
-	grantedAt  clock.Instant
 	// minTerm is the earliest term in which this node may still issue leases.
 	// It has promised the coordinator of that term to issue none of earlier
 	// ones.
@@ -169,9 +177,8 @@
 		return
 	}
 	grant := s.member.HandleReport(s.now(), m.report)
-	s.grantedAt = s.now()
-	s.publishRows()
 	m.reply.Send(grant)
+	s.deliver()
 	if s.member.HasReleases() {
 		s.lastReport = 0
 	}
@@ -187,7 +194,7 @@
 func (m endNotice) apply(s *state) {
 	if s.member != nil {
 		s.member.EndRun(m.holder)
-		s.publishRows()
+		s.deliver()
 		s.lastReport = 0
 	}
 }
@@ -230,7 +237,9 @@
 }
 
 func (s *state) handleAnswer(sentAt clock.Instant, a shards.LeaseAnswer) {
-	if !s.member.HandleAnswer(sentAt, a) && a.Term > s.recordTerm() {
+	current := s.member.HandleAnswer(sentAt, a)
+	s.deliver()
+	if !current && a.Term > s.recordTerm() {
 		s.lastRead = 0 // the record has changed
 		s.readRecord()
 	}
@@ -249,6 +258,7 @@
 		if s.member.ReleaseSilentRun(now) {
 			s.lastReport = 0
 		}
+		s.deliver()
 		s.logLeaseChange(now)
 		s.sendReport(now)
 	}
@@ -343,8 +353,7 @@
 }
 
 func (s *state) publishRows() {
-	rows, until := s.member.UsableRows()
-	s.usable.Store(&UsableRows{Holder: s.member.Holder(), Rows: rows, GrantedAt: s.grantedAt, HoldEnd: until})
+	s.usable.Store(&UsableRows{Holder: s.member.Holder(), Rows: s.member.UsableRows()})
 }
 
 // intervalElapsed reports whether interval has passed since last. It is true if
--- a/sidecar/keys/keys.go
+++ b/sidecar/keys/keys.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,12 @@
 	StepDown(ctx context.Context, address string, r peers.StepDownRequest) (peers.StepDownAnswer, error)
 }
 
+// BackendCaller calls the node's own backend server. Call returns when the call
+// was answered or its timeout has passed.
+type BackendCaller interface {
+	Call(ctx context.Context, c shards.Call) shards.CallResult
+}
+
 // CoordinatorView is what package nodes knows of a service's coordinator.
 type CoordinatorView struct {
 	shards.ElectionInput
@@ -87,6 +94,10 @@
 	Pool    *ants.Pool
 	Records RecordStore
 	Client  CoordinatorClient
+	// Caller grants keys by calls, of which at most MaxCalls grants and MaxCalls
+	// releases are made at once. It may be nil on nodes of other services.
+	Caller   BackendCaller
+	MaxCalls int
 	// OnRecordWritten is called on the controller's goroutine after each
 	// successful write of the record.
 	OnRecordWritten func()
@@ -106,25 +117,31 @@
 	return &Table{a, revision, sync.OnceValues(func() ([]byte, error) { return record.Encode(a) })}
 }
 
-// UsableRows are the rows for which the backend server may begin requests.
+// UsableRows are the rows for which the backend server may begin requests, sorted
+// by key.
 type UsableRows struct {
 	Holder shards.Holder
-	Rows   []shards.Row
-	// GrantedAt is the instant of the last grant, HoldEnd the end of the hold.
-	GrantedAt, HoldEnd clock.Instant
+	Rows   []shards.UsableRow
 }
 
-// Covers reports whether a request for a key may begin at now.
-func (u *UsableRows) Covers(now clock.Instant, key int) bool {
-	if u == nil || !now.Before(u.HoldEnd) {
-		return false
+// HoldEnd returns the end of the hold of a key, or 0 if it is not held.
+func (u *UsableRows) HoldEnd(key int) clock.Instant {
+	if u == nil {
+		return 0
 	}
-	for _, r := range u.Rows {
-		if r.From <= key && key <= r.To {
-			return true
+	i, ok := slices.BinarySearchFunc(u.Rows, key, func(r shards.UsableRow, key int) int {
+		switch {
+		case r.To < key:
+			return -1
+		case r.From > key:
+			return 1
 		}
+		return 0
+	})
+	if !ok {
+		return 0
 	}
-	return false
+	return u.Rows[i].HoldEnd
 }
 
 // Controller takes part in the key assignment of one service. Its methods may be
@@ -132,6 +149,8 @@
 type Controller struct {
 	cfg      Config
 	messages *ring.Ring[message]
+	calls    *ring.Ring[shards.Call]
+	byCall   atomic.Bool
 	table    atomic.Pointer[Table]
 	usable   atomic.Pointer[UsableRows]
 	status   atomic.Pointer[Status]
@@ -152,11 +171,23 @@
 
 // New returns a controller. It does nothing until Run is called.
 func New(cfg Config) *Controller {
-	c := &Controller{cfg: cfg, messages: ring.New[message]("keys_"+string(cfg.Service), ringCapacity, ring.Block)}
+	c := &Controller{cfg: cfg, messages: ring.New[message]("keys_"+string(cfg.Service), ringCapacity, ring.Block),
+		calls: ring.New[shards.Call]("key_calls_"+string(cfg.Service), max(1, 2*cfg.MaxCalls), ring.Refuse),
+	}
 	c.status.Store(&Status{})
 	return c
 }
 
+// GrantByCall selects whether keys are granted by calls to the backend server,
+// rather than in the answers to its status reports.
+func (c *Controller) GrantByCall(byCall bool) {
+	c.byCall.Store(byCall)
+	c.push(context.Background(), modeChange{byCall})
+}
+
+// GrantsByCall reports whether keys are granted by calls.
+func (c *Controller) GrantsByCall() bool { return c.byCall.Load() }
+
 // Table returns the newest assignment, or nil before the first.
 func (c *Controller) Table() *Table { return c.table.Load() }
 
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -74,6 +74,7 @@
 	budget      *dispatch.RetryBudget
 	nodes       *nodes.Tracker
 	backend     *backend.Proxy
+	keyCaller   *backend.KeyCaller
 	router      *router.Router
 	peerLinks   peerLinks
 	peerClient  *peers.Client
@@ -154,6 +155,9 @@
 	if err != nil {
 		return err
 	}
+	if n.keyCaller, err = backend.NewKeyCaller(s.BackendAddress); err != nil {
+		return err
+	}
 	n.peerLinks = newPeerLinks(n)
 	n.router = router.New(router.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Origin: s.Service, Clock: n.clock, Log: n.log, Routes: &n.routes,
@@ -318,16 +322,30 @@
 		next[s] = controller
 	}
 	for _, s := range c.Services {
-		if !s.Sharded || next[s.Name] != nil {
+		if !s.Sharded {
+			continue
+		}
+		byCall := s.Grants == routes.GrantByCall || s.Grants == routes.GrantUnspecified && n.cfg.Settings.GrantMode == routes.GrantByCall
+		if c := next[s.Name]; c != nil {
+			if c.GrantsByCall() != byCall {
+				c.GrantByCall(byCall)
+			}
 			continue
 		}
 		controller := keys.New(keys.Config{
 			Service: s.Name, Node: n.self.Node, Incarnation: n.self.Incarnation, IsMember: s.Name == n.self.Service,
 			MaxHold: n.cfg.Settings.Bounds.MaxHoldTime, Clock: n.clock, Log: n.log, Pool: n.pool,
 			Records: recordStore{n.store}, Client: n.peerClient, OnRecordWritten: n.nodes.SendBeacons,
+			Caller: n.keyCaller, MaxCalls: backend.MaxKeyCalls,
 		})
+		if byCall {
+			controller.GrantByCall(true)
+		}
 		next[s.Name] = controller
 		n.runLoop(controller.Run)
+		if s.Name == n.self.Service {
+			n.runLoop(controller.RunCalls)
+		}
 		n.log.WithField("service", s.Name).Info("key controller of a sharded service started")
 	}
 	tracked := make(map[core.Service]nodes.KeyController, len(next))
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -56,6 +56,7 @@
 	n.removeAddress()
 	n.log.WithFields(log.Fields{"cut": n.countInFlight()}).Info("node has stopped; requests still in flight are cut off")
 	n.cancel()
+	_ = n.keyCaller.Close(ctx) // the calls have ended with the node's context
 	n.closeListeners()
 }
 
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -27,6 +27,9 @@
 	ReportAddress string
 	// Sharded servers answer only requests for keys that they hold.
 	Sharded bool
+	// GrantedByCall servers are granted their keys by calls, and tell nothing of
+	// them in their status reports.
+	GrantedByCall bool
 	// Slots is the number of requests that may run at once.
 	Slots int
 	// ServiceTime is how long a request runs.
@@ -115,6 +118,8 @@
 type KeyRange struct {
 	From, To int
 	Fence    int64
+	// until is the end of the hold of a range that was granted by a call.
+	until time.Time
 }
 
 // Server is the stand-in. Its methods are safe for concurrent use.
@@ -130,6 +135,7 @@
 	// released holds the key ranges given up since the last answered report, as
 	// rows of first key, last key and handover.
 	released  [][]any
+	called    calledKeys
 	leaving   bool
 	runCounts map[string]int
 
@@ -194,6 +200,11 @@
 		if now.Before(s.heldUntil) {
 			out[i] = append([]KeyRange(nil), s.held...)
 		}
+		for _, r := range s.called.ranges {
+			if now.Before(r.until) {
+				out[i] = append(without(out[i], r), r)
+			}
+		}
 	}
 	return out
 }
@@ -209,6 +220,11 @@
 func (s *Server) PeakRunning() int64 { return s.peak.Load() }
 
 func (s *Server) holdsKey(key int) bool {
+	for _, r := range s.called.ranges {
+		if r.From <= key && key <= r.To && time.Now().Before(r.until) {
+			return true
+		}
+	}
 	if !time.Now().Before(s.heldUntil) {
 		return false
 	}
@@ -228,6 +244,10 @@
 		w.Header().Set(wire.HeaderRateLimit, strconv.FormatFloat(s.cfg.RateLimit, 'f', -1, 64))
 	}
 	expectedInstance := r.Header.Get(wire.HeaderInstance)
+	if r.URL.Path == wire.GrantPath || r.URL.Path == wire.ReleasePath {
+		s.serveKeyCall(w, r)
+		return
+	}
 	key, _ := strconv.Atoi(r.Header.Get(wire.HeaderKey))
 	if s.refusesFirst(r) {
 		w.Header().Set(wire.HeaderNotExecuted, "1")
@@ -242,6 +262,12 @@
 	misdirected := expectedInstance != "" && expectedInstance != s.cfg.Instance || s.cfg.Sharded && !s.holdsKey(key)
 	if !misdirected {
 		s.runCounts[id]++
+		end := s.called.begin(key)
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			end()
+		}()
 	}
 	s.mu.Unlock()
 	if misdirected {
@@ -409,7 +435,7 @@
 		"status": map[string]any{"state": state, "seq": s.seq, "cold-remaining": "0ms"},
 	}
 	reportedReleases := len(s.released)
-	if s.cfg.Sharded {
+	if s.cfg.Sharded && !s.cfg.GrantedByCall {
 		rows := make([][]any, 0, len(s.held))
 		if sentAt.Before(s.heldUntil) {
 			for _, r := range s.held {
@@ -454,7 +480,7 @@
 	}
 	var rows []KeyRange
 	for _, h := range granted {
-		rows = append(rows, KeyRange{int(h[0].(float64)), int(h[1].(float64)), int64(h[2].(float64))})
+		rows = append(rows, KeyRange{int(h[0].(float64)), int(h[1].(float64)), int64(h[2].(float64)), time.Time{}})
 	}
 	released := false
 	if time.Now().Before(s.heldUntil) {
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -19,6 +19,13 @@
 	HeaderNotExecuted = "X-Marjoramshore-Not-Executed"
 	HeaderSignature   = "X-Marjoramshore-Response-Signature"
 	HeaderRateLimit   = "Server-Limit"
+	HeaderHandover    = "X-Marjoramshore-Handover"
+)
+
+// Paths of the calls that grant keys to a backend server and take them back.
+const (
+	GrantPath   = "/grant"
+	ReleasePath = "/release"
 )
 
 // SettingsVariable is the environment variable with the path of the settings
