frontend: serve pipelined requests side by side

What callers saw: some callers send further idempotent requests before the first is answered.

Cause: hertz reads the next request of a connection when the answer to the one before has been sent.

Change: the watch of the caller's connection, which runs while a request is served, reads further requests without a body that may run ahead of their turn (Config.MayRunAhead: those of idempotent routes), starts them, and their answers leave in order. At most 16 requests and 1 MiB of bodies wait on a connection; beyond that it is not read. An answer closes the connection only when nothing waits behind it. What may not run ahead stays unread until its turn.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -133,3 +134,18 @@
 	// that served the request, or empty.
 	OwnerCallerAddress string
 }
+
+// ReadAll reads the body, whose length must be known, into memory. If the body is
+// not whole, the error tells that the outcome of the request is unknown.
+func (r *Response) ReadAll() error {
+	data := make([]byte, r.Length)
+	_, err := io.ReadFull(r.Body, data)
+	if closeErr := r.Body.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return Wrap(CodeUnknown, err, "the answer was cut off")
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	return nil
+}
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -58,10 +58,9 @@
 // writeResponse sends the head, then the body as it is read. An error is
 // recorded in truncated and counted.
 func (rw *responseWriter) writeResponse(status int, length int64, body io.Reader) {
-	req := &rw.exchange.rc.Request.Header
 	h := responseHead{
 		status: status, length: length, fields: rw.fields, date: time.Now(),
-		isHTTP11: req.IsHTTP11(), forHEAD: req.IsHead(), closeConn: rw.mustCloseConn(), keepAlive: rw.exchange.frontend.cfg.KeepAlive,
+		isHTTP11: rw.exchange.isHTTP11, forHEAD: rw.exchange.isHead, closeConn: rw.mustCloseConn(), keepAlive: rw.exchange.frontend.cfg.KeepAlive,
 	}
 	h.chooseFraming()
 	if h.closeConn {
@@ -75,7 +74,8 @@
 
 func (rw *responseWriter) mustCloseConn() bool {
 	x := rw.exchange
-	return x.rc.Request.Header.ConnectionClose() || x.frontend.draining.Load() || x.hasUnreadBody()
+	mustClose := x.rc.Request.Header.ConnectionClose() || x.frontend.draining.Load() || x.hasUnreadBody()
+	return mustClose && x.endPipeline()
 }
 
 func (rw *responseWriter) writeHeadAndBody(h *responseHead, body io.Reader) error {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -54,6 +54,10 @@
 	// BodyIdleTimeout limits one read of a request body and one write of a
 	// response. The default is 30 s.
 	BodyIdleTimeout time.Duration
+	// MayRunAhead reports whether a request without a body may be served before
+	// the requests that its caller sent before it have been answered. Such a
+	// request may run again if the connection breaks. By default none is.
+	MayRunAhead func(*core.Request) bool
 	// Meter counts the bytes of the connections; it may be nil.
 	Meter *core.ByteMeter
 	// OnDisconnect is called on the goroutine of an exchange whose caller has
@@ -88,6 +92,9 @@
 	if c.Dialect == nil {
 		c.Dialect = nativeDialect{}
 	}
+	if c.MayRunAhead == nil {
+		c.MayRunAhead = func(*core.Request) bool { return false }
+	}
 	if c.MinBodyRate <= 0 {
 		c.MinBodyRate = 1024
 	}
@@ -101,7 +108,9 @@
 type Stats struct {
 	// RefusedExchanges counts requests beyond Config.MaxExchanges, RefusedConns
 	// connections beyond Config.MaxConns.
-	Exchanges, RefusedExchanges, BadRequests, RefusedConns uint64
+	// AheadExchanges counts requests that were read before the one before them was
+	// answered.
+	Exchanges, AheadExchanges, RefusedExchanges, BadRequests, RefusedConns uint64
 	// TruncatedResponses counts responses that failed while they were written.
 	TruncatedResponses uint64
 	// CallerDisconnects counts callers that disconnected before their response
@@ -119,7 +128,7 @@
 }
 
 type counters struct {
-	exchanges, refused, badRequests, truncated, disconnects, dropped, unwatched atomic.Uint64
+	exchanges, refused, badRequests, truncated, disconnects, dropped, unwatched, ahead atomic.Uint64
 }
 
 // Frontend is an HTTP server for callers.
@@ -128,6 +137,7 @@
 	listener   *listener
 	hertz      *server.Hertz
 	watchPool  *ants.Pool
+	aheadPool  *ants.Pool    // serves requests ahead of their turn
 	serveEnded chan struct{} // closed when hertz has stopped serving
 	started    atomic.Bool
 	draining   atomic.Bool
@@ -148,11 +158,15 @@
 	if err != nil {
 		return nil, core.Wrap(core.CodeInternal, err, "frontend: cannot create the goroutine pool")
 	}
+	ahead, err := ants.NewPool(cfg.MaxExchanges, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, core.Wrap(core.CodeInternal, err, "frontend: cannot create the goroutine pool")
+	}
 	ln, err := net.Listen("tcp", cfg.Addr)
 	if err != nil {
 		return nil, core.Wrap(core.CodeUnavailable, err, "frontend: cannot listen")
 	}
-	f := &Frontend{cfg: cfg, watchPool: pool, serveEnded: make(chan struct{})}
+	f := &Frontend{cfg: cfg, watchPool: pool, aheadPool: ahead, serveEnded: make(chan struct{})}
 	f.listener = newListener(ln, cfg.MaxConns, cfg.HeaderTimeout)
 	f.listener.meter = cfg.Meter
 	f.hertz = server.New(f.hertzOptions()...)
@@ -211,6 +225,7 @@
 		return core.Wrap(core.CodeUnavailable, err, "frontend: shutdown ended with exchanges still running")
 	}
 	f.watchPool.Release()
+	f.aheadPool.Release()
 	return nil
 }
 
@@ -220,6 +235,7 @@
 	f.listener.forEachConn((*callerConn).reset)
 	f.endServing()
 	f.watchPool.Release()
+	f.aheadPool.Release()
 	return nil
 }
 
@@ -247,7 +263,7 @@
 func (f *Frontend) Stats() Stats {
 	c := &f.counts
 	return Stats{
-		Exchanges: c.exchanges.Load(), RefusedExchanges: c.refused.Load(),
+		Exchanges: c.exchanges.Load(), AheadExchanges: c.ahead.Load(), RefusedExchanges: c.refused.Load(),
 		BadRequests: c.badRequests.Load(), RefusedConns: f.listener.refusedConns.Load(),
 		TruncatedResponses: c.truncated.Load(), CallerDisconnects: c.disconnects.Load(), DroppedResponses: c.dropped.Load(),
 		UnwatchedExchanges: c.unwatched.Load(),
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -18,8 +18,16 @@
 	started     time.Time
 	requestBody *core.Body    // nil when the request has none
 	upload      *uploadReader // the source of requestBody
-	callerWatch *disconnectWatch
 	response    *responseWriter
+	// pipeline serves the requests behind this one, if hertz has read it. It is in
+	// use once the request is served.
+	pipeline pipeline
+	// leader is the exchange behind which this one was read ahead, or nil.
+	leader *exchange
+	// length is the length of the body in bytes, or core.UnknownLength.
+	length int64
+	// isHTTP11 and isHead describe the request.
+	isHTTP11, isHead bool
 	// framingValid is set once checkFraming has found the end of the request to
 	// be unambiguous.
 	framingValid bool
@@ -34,7 +42,7 @@
 	}
 	f.counts.exchanges.Add(1)
 	c.busy.Store(true) // a pipelined request may already have been read
-	x := &exchange{frontend: f, rc: rc, conn: c, started: time.Now()}
+	x := &exchange{frontend: f, rc: rc, conn: c, started: time.Now(), isHTTP11: rc.Request.Header.IsHTTP11(), isHead: rc.Request.Header.IsHead()}
 	x.response = newResponseWriter(x)
 	defer f.inFlight.Add(-1)
 	inFlight := f.inFlight.Add(1)
@@ -67,10 +75,11 @@
 		x.dropResponse(nil, BeforeServe)
 		return
 	}
-	x.callerWatch = newDisconnectWatch(x.rc.GetConn(), cancel)
+	x.pipeline.init(x.frontend, x, cancel)
+	defer x.pipeline.answerWaiting()
 	x.attachBody()
 	resp, err := x.frontend.cfg.Handler.Serve(ctx, x.req)
-	if x.callerWatch.disconnected.Load() {
+	if x.pipeline.watch.disconnected.Load() {
 		x.dropResponse(resp, WhileServed)
 		return
 	}
@@ -106,7 +115,7 @@
 // caller starts at the end of the body, or at once if there is none.
 func (x *exchange) attachBody() {
 	if x.req.Length == 0 {
-		x.frontend.startWatch(x.callerWatch)
+		x.frontend.startWatch(x.pipeline.watch)
 		return
 	}
 	x.upload = &uploadReader{
@@ -122,10 +131,10 @@
 // the request has been passed on.
 func (x *exchange) watchAfterBody() {
 	if x.rc.GetConn().Len() == 0 && x.conn.closedByCaller() {
-		x.callerWatch.reportClosed()
+		x.pipeline.watch.reportClosed()
 		return
 	}
-	x.frontend.startWatch(x.callerWatch)
+	x.frontend.startWatch(x.pipeline.watch)
 }
 
 // respondWithFailure sends the response for err.
@@ -145,13 +154,10 @@
 	if x.requestBody != nil {
 		_ = x.requestBody.Close()
 	}
-	if x.callerWatch != nil {
-		x.callerWatch.stop()
-	}
 	switch {
 	case x.response.truncated:
 		x.conn.reset()
-	case x.hasUnreadBody():
+	case x.hasUnreadBody(), x.rc.Response.ConnectionClose() && x.hasUnreadRequests():
 		x.closeLingering()
 	default:
 		x.conn.busy.Store(x.rc.GetConn().Len() > 0) // the next request may be buffered
@@ -169,17 +175,27 @@
 // connection. It is false for a body that hertz has prefetched, so that a
 // refusal of such a request does not cost the connection.
 func (x *exchange) hasUnreadBody() bool {
-	length := announcedLength(&x.rc.Request.Header)
 	switch {
 	case !x.framingValid:
 		return true
-	case length >= 0 && length <= prefetchedBodyBytes:
+	case x.length >= 0 && x.length <= prefetchedBodyBytes:
 		return false
 	default:
 		return x.requestBody == nil || !x.requestBody.ReachedEOF()
 	}
 }
 
+// hasUnreadRequests reports whether the caller may have sent requests behind those
+// that were answered. Closing the connection at once would reset it, and the
+// caller could lose the answers.
+func (x *exchange) hasUnreadRequests() bool {
+	if x.pipeline.readCount > 0 || x.rc.GetConn().Len() > 0 {
+		return true
+	}
+	n, _ := x.conn.peek()
+	return n > 0
+}
+
 // Limits of the time and bytes for which a connection is still read when the
 // response is complete and the caller is still sending. Closing at once would
 // reset the connection, and the caller could lose the response.
--- a/frontend/head.go
+++ b/frontend/head.go
@@ -24,7 +24,8 @@
 		return core.Fail(core.CodeInvalid, "ambiguous body length, or transfer coding other than chunked")
 	}
 	x.framingValid = true
-	x.req.Length = announcedLength(h)
+	x.length = announcedLength(h)
+	x.req.Length = x.length
 	if x.req.Length > x.frontend.cfg.MaxBodyBytes {
 		return core.Fail(core.CodeTooLarge, "request body too large")
 	}
--- /dev/null
+++ b/frontend/pipeline.go
@@ -0,0 +1,360 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"marjoramshore.example/core"
+)
+
+const (
+	// maxAhead bounds the requests of a connection that are served ahead of their
+	// turn. Further ones are not read.
+	maxAhead = 16
+	// maxAheadBytes bounds the bodies of answers that wait for their turn, beyond
+	// which no further request is read.
+	maxAheadBytes = 1 << 20
+	// maxAheadBody bounds the bodies that are read before the turn of their answer,
+	// so that the connections on which they come are free again.
+	maxAheadBody = 64 << 10
+	// maxAheadRun bounds the requests that are read ahead one after the other.
+	// hertz then reads the next one, and releases the buffers of all of them.
+	maxAheadRun = 256
+)
+
+// pipeline serves the requests that a caller sends on a connection before the
+// answer to an earlier one. They are served side by side, and their answers leave
+// in the order of the requests. hertz reads the first request; the watch of its
+// caller reads the others, as long as they have no body and may run ahead of their
+// turn. All others are left on the connection until the earlier ones are answered.
+type pipeline struct {
+	frontend *Frontend
+	first    *exchange
+	// cancelFirst ends the first request.
+	cancelFirst context.CancelFunc
+	// watch reads the connection while an exchange is served. The connection's
+	// goroutine starts and stops it.
+	watch *disconnectWatch
+	// inTurn is set once the next request must wait for its turn. The goroutine
+	// that reads the connection owns it.
+	inTurn bool
+
+	mu sync.Mutex
+	// ctx is the context of all requests read ahead, which ends when the caller
+	// disconnects. It is nil until one is read.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// waiting are the requests that were read ahead, in their order.
+	waiting []*aheadExchange
+	// readCount counts all requests that were read ahead.
+	readCount int
+	// waitingBytes is the length of the bodies of waiting answers.
+	waitingBytes int64
+}
+
+// aheadExchange is a request that was read ahead. done is closed once resp or err
+// is set.
+type aheadExchange struct {
+	*exchange
+	ctx    context.Context
+	cancel context.CancelFunc // set once the request is served
+	resp   *core.Response
+	err    error
+	done   chan struct{}
+}
+
+// init makes p ready to serve what follows the first request. cancelFirst ends
+// that one.
+func (p *pipeline) init(f *Frontend, first *exchange, cancelFirst context.CancelFunc) {
+	p.frontend, p.first, p.cancelFirst = f, first, cancelFirst
+	p.watch = newDisconnectWatch(p)
+}
+
+// cancelAll ends all requests, because the caller has left.
+func (p *pipeline) cancelAll() {
+	p.cancelFirst()
+	p.cancelAhead()
+}
+
+// cancelAhead ends the requests that were read ahead.
+func (p *pipeline) cancelAhead() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil {
+		p.cancel()
+	}
+}
+
+// readAhead reads one request from the connection, if it may run ahead of its
+// turn, and starts to serve it. It runs on the goroutine of the watch.
+func (p *pipeline) readAhead() aheadResult {
+	if !p.mayReadAhead() {
+		return leaveAhead
+	}
+	p.inTurn = true // unless the request turns out to be one that may run ahead
+	conn := p.first.rc.GetConn()
+	head, result := peekHead(conn, p.frontend.cfg.MaxHeaderBytes)
+	if result != watchAhead {
+		p.inTurn = result == leaveAhead && head != nil
+		return result
+	}
+	var h protocol.RequestHeader
+	if req.ReadHeaderWithLimit(&h, &byteReader{data: head}, p.frontend.cfg.MaxHeaderBytes) != nil {
+		return leaveAhead
+	}
+	x := p.newExchange(&h)
+	if x == nil {
+		return leaveAhead
+	}
+	if conn.Skip(len(head)) != nil {
+		return closedAhead
+	}
+	p.inTurn = false
+	p.start(x)
+	return watchAhead
+}
+
+// mayReadAhead reports whether the limits of the connection allow another request
+// to be read. A node that stops reads no more.
+func (p *pipeline) mayReadAhead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := &p.first.rc.Request.Header
+	return first.IsHTTP11() && !first.ConnectionClose() && len(p.waiting) < maxAhead && p.waitingBytes < maxAheadBytes && p.readCount < maxAheadRun && !p.frontend.draining.Load()
+}
+
+// newExchange returns the exchange of a request that may run ahead of its turn, or
+// nil.
+func (p *pipeline) newExchange(h *protocol.RequestHeader) *aheadExchange {
+	f := p.frontend
+	if !h.IsHTTP11() || h.ConnectionClose() || !h.IsGet() && !h.IsHead() || !hasUnambiguousLength(h.RawHeaders()) || announcedLength(h) != 0 {
+		return nil
+	}
+	x := &exchange{frontend: f, rc: p.first.rc, conn: p.first.conn, started: time.Now(), isHTTP11: true, isHead: h.IsHead(), framingValid: true, leader: p.first}
+	var err error
+	if x.req, err = f.cfg.Dialect.ParseHead(copyHead(h), x.started); err != nil || !f.cfg.MayRunAhead(x.req) {
+		return nil
+	}
+	x.response = &responseWriter{exchange: x}
+	return &aheadExchange{exchange: x, done: make(chan struct{})}
+}
+
+// start begins to serve a request. Without a free goroutine it is served when its
+// turn comes.
+func (p *pipeline) start(x *aheadExchange) {
+	f := p.frontend
+	f.counts.exchanges.Add(1)
+	f.counts.ahead.Add(1)
+	inFlight := f.inFlight.Add(1)
+	p.mu.Lock()
+	if p.ctx == nil {
+		p.ctx, p.cancel = context.WithCancel(context.Background())
+	}
+	x.ctx = p.ctx
+	p.waiting = append(p.waiting, x)
+	p.readCount++
+	p.mu.Unlock()
+	if inFlight > int64(f.cfg.MaxExchanges) {
+		f.counts.refused.Add(1)
+		x.err = core.Fail(core.CodeOverloaded, "too many concurrent requests")
+		close(x.done)
+		return
+	}
+	if f.aheadPool.Submit(func() { p.serve(x) }) != nil {
+		x.err = core.Fail(core.CodeOverloaded, "no goroutine is free for a pipelined request")
+		close(x.done)
+	}
+}
+
+// serve passes a request to the Handler. The context of the request lives until
+// its answer has been sent, since a longer body is read only then.
+func (p *pipeline) serve(x *aheadExchange) {
+	defer close(x.done)
+	var ctx context.Context
+	ctx, x.cancel = withDeadline(x.ctx, x.req.Deadline)
+	x.resp, x.err = p.frontend.cfg.Handler.Serve(ctx, x.req)
+	if x.resp == nil || x.resp.Length < 0 || x.resp.Length > maxAheadBody {
+		return
+	}
+	p.mu.Lock()
+	p.waitingBytes += x.resp.Length
+	p.mu.Unlock()
+	x.err = x.resp.ReadAll()
+}
+
+// next returns the request whose turn it is, or nil if none was read ahead.
+func (p *pipeline) next() *aheadExchange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	return p.waiting[0]
+}
+
+// remove ends the turn of the first waiting request.
+func (p *pipeline) remove(x *aheadExchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting = p.waiting[1:]
+	if x.resp != nil && x.resp.Length >= 0 && x.resp.Length <= maxAheadBody {
+		p.waitingBytes -= x.resp.Length
+	}
+	if x.cancel != nil {
+		x.cancel()
+	}
+	p.frontend.inFlight.Add(-1)
+}
+
+// answerWaiting answers the requests that were read ahead, each when its turn
+// comes. When it returns nothing else reads the connection.
+func (p *pipeline) answerWaiting() {
+	defer p.cancelAhead()
+	if p.first.response.truncated {
+		p.cancelAhead()
+	}
+	for {
+		x := p.next()
+		if x == nil {
+			// The watch may have read a request until it stopped.
+			if p.watch.stop(); p.next() == nil {
+				return
+			}
+			continue
+		}
+		p.resumeWatch()
+		<-x.done
+		p.answer(x)
+		p.remove(x)
+	}
+}
+
+// resumeWatch starts the watch anew if it has ended at a limit that holds no more.
+func (p *pipeline) resumeWatch() {
+	if p.watch.disconnected.Load() || p.first.response.truncated {
+		return
+	}
+	select {
+	case <-p.watch.done:
+	default:
+		if p.watch.started.Load() {
+			return
+		}
+	}
+	if !p.inTurn && p.mayReadAhead() {
+		p.watch = newDisconnectWatch(p)
+		p.frontend.startWatch(p.watch)
+	}
+}
+
+// answer sends the answer to a request, unless an earlier one broke off or the
+// caller has left.
+func (p *pipeline) answer(x *aheadExchange) {
+	switch {
+	case p.first.response.truncated:
+		if x.resp != nil {
+			_ = x.resp.Body.Close()
+		}
+	case p.watch.disconnected.Load():
+		x.dropResponse(x.resp, WhileServed)
+	case x.err != nil:
+		x.respondWithFailure(x.err)
+	default:
+		x.response.writeBackendResponse(x.resp)
+	}
+	if x.response.truncated {
+		p.first.response.truncated = true // hertz then closes the connection
+		p.cancelAhead()
+	}
+}
+
+// endPipeline ends the reading ahead, and reports whether no request waits behind
+// x. Only then may the answer to x close the connection: what was read ahead has
+// been passed on.
+func (x *exchange) endPipeline() bool {
+	first := x
+	if x.leader != nil {
+		first = x.leader
+	}
+	p := &first.pipeline
+	if p.watch == nil {
+		return true
+	}
+	p.watch.stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting) == 0 || len(p.waiting) == 1 && p.waiting[0].exchange == x
+}
+
+// peekHead waits for the head of the next request and returns it without taking
+// it from the connection. The head is nil if the wait was ended, and empty if it is
+// too large.
+func peekHead(conn network.Conn, maxBytes int) ([]byte, aheadResult) {
+	for n := conn.Len(); ; n = max(n+1, conn.Len()) {
+		if n > maxBytes {
+			return []byte{}, leaveAhead
+		}
+		data, err := conn.Peek(n)
+		switch {
+		case isTimeout(err):
+			return nil, leaveAhead
+		case err != nil:
+			return nil, closedAhead
+		}
+		if end := bytes.Index(data, headEnd); end >= 0 {
+			return data[:end+len(headEnd)], watchAhead
+		}
+	}
+}
+
+// headEnd ends the head of a request.
+var headEnd = []byte("\r\n\r\n")
+
+// byteReader is a network.Reader of bytes that have arrived.
+type byteReader struct{ data []byte }
+
+var _ network.Reader = (*byteReader)(nil)
+
+// Peek implements network.Reader.
+func (r *byteReader) Peek(n int) ([]byte, error) {
+	if n > len(r.data) {
+		return r.data, io.ErrUnexpectedEOF
+	}
+	return r.data[:n], nil
+}
+
+// Skip implements network.Reader.
+func (r *byteReader) Skip(n int) error {
+	_, err := r.ReadBinary(n)
+	return err
+}
+
+// Release implements network.Reader.
+func (r *byteReader) Release() error { return nil }
+
+// Len implements network.Reader.
+func (r *byteReader) Len() int { return len(r.data) }
+
+// ReadByte implements network.Reader.
+func (r *byteReader) ReadByte() (byte, error) {
+	b, err := r.ReadBinary(1)
+	if err != nil {
+		return 0, err
+	}
+	return b[0], nil
+}
+
+// ReadBinary implements network.Reader.
+func (r *byteReader) ReadBinary(n int) ([]byte, error) {
+	b, err := r.Peek(n)
+	if err == nil {
+		r.data = r.data[n:]
+	}
+	return b, err
+}
--- a/frontend/watch.go
+++ b/frontend/watch.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"context"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -10,19 +9,32 @@
 	"github.com/cloudwego/hertz/pkg/network"
 )
 
-// disconnectWatch detects that a caller disconnects while its request runs, and
-// calls cancel then. It peeks at the connection, so that bytes of a pipelined
-// request stay there for hertz. done is closed when the watch has ended.
+// disconnectWatch detects that a caller disconnects while its requests run, and
+// cancels them then. It peeks at the connection; when bytes of a pipelined request
+// arrive, the pipeline reads the request or leaves it to hertz. done is closed when
+// the watch has ended.
 type disconnectWatch struct {
 	conn         network.Conn
-	cancel       context.CancelFunc
+	pipeline     *pipeline
 	started      atomic.Bool
 	disconnected atomic.Bool
 	done         chan struct{}
 }
 
-func newDisconnectWatch(c network.Conn, cancel context.CancelFunc) *disconnectWatch {
-	return &disconnectWatch{conn: c, cancel: cancel, done: make(chan struct{})}
+// aheadResult says how a watch goes on after bytes have arrived.
+type aheadResult uint8
+
+const (
+	// leaveAhead ends the watch, because hertz is to read what has arrived.
+	leaveAhead aheadResult = iota
+	// watchAhead goes on.
+	watchAhead
+	// closedAhead means that the caller has closed the connection.
+	closedAhead
+)
+
+func newDisconnectWatch(p *pipeline) *disconnectWatch {
+	return &disconnectWatch{conn: p.first.rc.GetConn(), pipeline: p, done: make(chan struct{})}
 }
 
 // startWatch starts w on a goroutine of the pool. The request body must have
@@ -40,19 +52,36 @@
 
 func (w *disconnectWatch) run() {
 	defer close(w.done)
-	_, err := w.conn.Peek(1)
-	var netErr net.Error
-	if err == nil || errors.As(err, &netErr) && netErr.Timeout() {
-		return
+	for {
+		_, err := w.conn.Peek(1)
+		if isTimeout(err) {
+			return
+		}
+		ahead := closedAhead
+		if err == nil {
+			ahead = w.pipeline.readAhead()
+		}
+		switch ahead {
+		case leaveAhead:
+			return
+		case closedAhead:
+			w.reportClosed()
+			return
+		}
 	}
-	w.reportClosed()
+}
+
+// isTimeout reports whether a read ended at its deadline.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // reportClosed records that the caller has closed the connection and cancels its
-// request.
+// requests.
 func (w *disconnectWatch) reportClosed() {
 	w.disconnected.Store(true)
-	w.cancel()
+	w.pipeline.cancelAll()
 }
 
 // stop ends the watch. The connection is not read by it after stop has
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -173,6 +173,7 @@
 	}
 	out, in := base, base
 	out.Addr, out.Handler, out.Dialect = s.CallerAddress, n.router, platform.CallerDialect{}
+	out.MayRunAhead = n.router.MayRunAhead
 	out.KeepAlive, in.IdleTimeout = callerKeepAlive, peerIdleTimeout
 	out.OnDisconnect, in.OnDisconnect = n.logDisconnect("caller"), n.logDisconnect("node")
 	in.Addr, in.Handler, in.Dialect = s.InboundAddress, n.backend, peers.InboundDialect{LoadSource: n, DelayEstimator: n.delays}
--- a/sidecar/router/match.go
+++ b/sidecar/router/match.go
@@ -16,12 +16,7 @@
 	if q.routeTable == nil {
 		return &core.Error{Code: core.CodeStaleRevision, Detail: "the node has no configuration yet", RetryAfter: noConfigRetryAfter}
 	}
-	host := ""
-	for _, f := range q.req.Header {
-		if f.Name == "Host" {
-			host = f.Value
-		}
-	}
+	host := hostOf(q.req)
 	route, ok := q.routeTable.Match(host, q.req.Path)
 	if err := q.checkNewerConfig(host, ok); err != nil {
 		return err
@@ -43,6 +38,28 @@
 	return q.parseKey()
 }
 
+func hostOf(req *core.Request) string {
+	host := ""
+	for _, f := range req.Header {
+		if f.Name == "Host" {
+			host = f.Value
+		}
+	}
+	return host
+}
+
+// MayRunAhead reports whether a request may be served before those that its
+// caller sent before it are answered. If the connection then breaks, the caller
+// sends it again.
+func (r *Router) MayRunAhead(req *core.Request) bool {
+	table := r.cfg.Routes.Load()
+	if table == nil {
+		return false
+	}
+	route, ok := table.Match(hostOf(req), req.Path)
+	return ok && route.Kind == routes.Idempotent
+}
+
 // checkNewerConfig refuses a request that the node cannot decide, because other
 // nodes have a configuration that it lacks and that differs in the routes of the
 // host. A route that is missing may be new, so that 404 would be wrong; one that
