soak: grants by calls and callers that pipeline

Cause: the soak knew neither deployments with direct grants nor callers that send requests before the answer to an earlier one.

Change: a shape may grant keys by calls, one in eight of which is carried out late and without an answer; callers sometimes send two to five idempotent requests behind each other.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -21,7 +21,7 @@
 	seedCount, keyedNodes, plainNodes, requestRate, callersPerNode int
 	disturbFor, meanGap                                            time.Duration
 	rateLimit                                                      float64
-	plannedOnly, overlap, slow, verbose                            bool
+	plannedOnly, overlap, slow, grantByCall, verbose               bool
 }
 
 func soakCommand() command {
@@ -44,6 +44,7 @@
 	sub.Bool(&f.overlap, "o", "overlap", "Only planned operations, in bursts that stop several nodes while others restart, reload and get configurations.")
 	sub.Bool(&f.slow, "", "slow", "Give each process one processor, in short turns.")
 	sub.Float64(&f.rateLimit, "", "limit", "Requests per second that the backend server of the last node names as its limit; 0 names none.")
+	sub.Bool(&f.grantByCall, "", "grant-by-call", "Grant keys by calls to the backend servers, some of which get no answer.")
 	sub.Bool(&f.verbose, "v", "verbose", "Print each disturbance.")
 	return command{sub, f.run}
 }
@@ -69,7 +70,7 @@
 		seed := f.firstSeed + uint64(i)
 		result, err := soak.Run(ctx, soak.Options{
 			Binary: f.binary, Dir: filepath.Join(f.dir, strconv.FormatUint(seed, 10)), Seed: seed, PerSecond: f.requestRate, CallersPerNode: f.callersPerNode, Out: out,
-			Shape: soak.Shape{Keyed: f.keyedNodes, Plain: f.plainNodes, Trouble: f.disturbFor, Planned: f.plannedOnly, Overlap: f.overlap, Slow: f.slow, Kinds: kinds, Gap: f.meanGap, RateLimit: f.rateLimit},
+			Shape: soak.Shape{Keyed: f.keyedNodes, Plain: f.plainNodes, Trouble: f.disturbFor, Planned: f.plannedOnly, Overlap: f.overlap, Slow: f.slow, Kinds: kinds, Gap: f.meanGap, RateLimit: f.rateLimit, GrantByCall: f.grantByCall},
 		})
 		if err != nil {
 			return o.fail(exitFailure, err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,10 @@
 	// at most maxPatience. The caller then closes the connection.
 	leaveOneIn  = 8
 	maxPatience = time.Second
+	// One in pipelineOneIn times a caller sends up to maxPipelined idempotent
+	// requests without waiting for responses in between.
+	pipelineOneIn = 6
+	maxPipelined  = 5
 )
 
 // attemptSequence makes the attempt IDs unique within the process.
@@ -73,7 +77,11 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if now.After(notBefore) {
+			switch {
+			case !now.After(notBefore):
+			case c.rng.IntN(pipelineOneIn) == 0:
+				c.sendPipelined(ctx)
+			default:
 				notBefore = now.Add(c.sendRequest(ctx))
 			}
 		}
@@ -126,6 +134,48 @@
 	return retryAfter
 }
 
+// sendPipelined sends idempotent requests behind each other.
+func (c *caller) sendPipelined(ctx context.Context) {
+	c.dropEndedConn()
+	if !c.connect() {
+		return
+	}
+	var requests []nodeRequest
+	var ends []*RequestEnd
+	for range 2 + c.rng.IntN(maxPipelined-1) {
+		id := c.newAttemptID(c.vm, "p")
+		q := nodeRequest{method: http.MethodGet, target: "/look/" + id, id: id, key: fmt.Sprint(c.rng.IntN(keyCount)), timeout: requestTimeout}
+		requests, ends = append(requests, q), append(ends, &RequestEnd{ID: id, Target: q.target})
+		c.record(SentRequest{c.elapsed(), id, keyedService, q.target, false})
+	}
+	conn := c.conn
+	_ = conn.SetDeadline(time.Now().Add(clientTimeout))
+	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
+	if !conn.exchangeAll(requests, ends) {
+		c.closeConn()
+	}
+	if ctx.Err() != nil {
+		return // the end of the run cut the requests off
+	}
+	for _, end := range ends {
+		end.At = c.elapsed()
+		c.record(*end)
+	}
+}
+
+// connect makes a connection unless one is kept, and reports whether there is one.
+func (c *caller) connect() bool {
+	if c.conn != nil {
+		return true
+	}
+	conn, err := dialNode(fmt.Sprintf("%s:%d", c.vm.ip, wire.PortOutbound))
+	if err != nil {
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
 // dropEndedConn closes the kept connection if the node has closed it, and
 // records bytes that it sent without a request.
 func (c *caller) dropEndedConn() {
--- a/soak/client.go
+++ b/soak/client.go
@@ -106,6 +106,34 @@
 // response without its body, or nil.
 func (c *callerConn) exchange(q nodeRequest, end *RequestEnd) *http.Response {
 	_, writeErr := c.Write(q.encode())
+	return c.receive(q, writeErr, end)
+}
+
+// exchangeAll sends requests one behind the other and reads their responses in
+// order. Those behind a response that closes the connection count as not sent. It
+// reports whether the connection can be used again.
+func (c *callerConn) exchangeAll(requests []nodeRequest, ends []*RequestEnd) bool {
+	var out []byte
+	for _, q := range requests {
+		out = append(out, q.encode()...)
+	}
+	_, writeErr := c.Write(out)
+	for i, q := range requests {
+		resp := c.receive(q, writeErr, ends[i])
+		if resp != nil && !resp.Close {
+			continue
+		}
+		for _, end := range ends[i+1:] {
+			end.Reason, end.NotConnected = "sent behind the last response of its connection", true
+		}
+		return false
+	}
+	return true
+}
+
+// receive reads the response to a request into end. It returns the response
+// without its body, or nil.
+func (c *callerConn) receive(q nodeRequest, writeErr error, end *RequestEnd) *http.Response {
 	// A node may respond before it has read a whole body, so the response is
 	// read after a failed write as well.
 	if _, err := c.reader.Peek(1); err != nil {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -136,8 +136,16 @@
 	// RateLimit is the limit, in requests a second, that the backend server of the
 	// last node names in its answers, or 0.
 	RateLimit float64
+	// GrantByCall makes the nodes grant keys by calls, of which one in
+	// unansweredCallOneIn is carried out without an answer after callDelay.
+	GrantByCall bool
 }
 
+const (
+	unansweredCallOneIn = 8
+	callDelay           = 400 * time.Millisecond
+)
+
 // onlyPlanned reports whether the plan has no faults, so that no link to a node
 // is disturbed.
 func (s Shape) onlyPlanned() bool { return s.Planned || s.Overlap }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,8 +57,9 @@
 		{Keyed: 3, Plain: 2, Trouble: 8 * time.Second, Gap: 700 * time.Millisecond},
 		{Keyed: 3, Plain: 2, Trouble: 8 * time.Second, Gap: 700 * time.Millisecond, Planned: true},
 		{Keyed: 3, Plain: 2, Trouble: 8 * time.Second, Gap: 3 * time.Second, Overlap: true, Slow: true},
+		{Keyed: 3, Plain: 2, Trouble: 8 * time.Second, Gap: 700 * time.Millisecond, GrantByCall: true},
 	} {
-		t.Run([]string{"Faults", "Planned", "OverlappingStops"}[i], func(t *testing.T) {
+		t.Run([]string{"Faults", "Planned", "OverlappingStops", "GrantsByCalls"}[i], func(t *testing.T) {
 			t.Parallel()
 			runSeed(t, Options{Binary: binary, Shape: shape, FirstAddress: i * shape.Nodes()})
 		})
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -91,7 +91,11 @@
 	}
 	v.settingsFile = filepath.Join(r.opts.Dir, v.name+".conf")
 	dataCentre := string(rune('a' + index%3))
-	settings := wire.VM{Node: v.name, DataCentre: dataCentre, IP: v.ip, Service: service, Store: v.proxyIP}.EncodeSettings(settingsBounds)
+	grants := ""
+	if r.opts.Shape.GrantByCall {
+		grants = "direct"
+	}
+	settings := wire.VM{Node: v.name, DataCentre: dataCentre, IP: v.ip, Service: service, Store: v.proxyIP, Grants: grants}.EncodeSettings(settingsBounds)
 	if err := os.WriteFile(v.settingsFile, []byte(settings), 0o600); err != nil {
 		return nil, wrapError("write the settings file of a node", err)
 	}
@@ -128,7 +132,7 @@
 	address, cfg := v.ip+":"+strconv.Itoa(wire.PortBackend), keyed.Config{
 		Service: v.service, Instance: name, ReportAddress: v.ip + ":" + strconv.Itoa(wire.PortReports), Sharded: v.service == keyedService,
 		Slots: serverSlots, ServiceTime: workTime, ReportInterval: reportInterval, Observer: observer{v.run, v.service},
-		RateLimit: v.rateLimit,
+		RateLimit: v.rateLimit, GrantedByCall: v.run.opts.Shape.GrantByCall,
 	}
 	if v.rateLimit > 0 {
 		v.run.record(ServerLimit{name, v.rateLimit})
@@ -140,6 +144,9 @@
 	if err != nil {
 		return wrapError("start a backend server", err)
 	}
+	if cfg.GrantedByCall {
+		server.SetCallFaults(keyed.CallFaults{Every: unansweredCallOneIn, Late: callDelay})
+	}
 	v.server.Store(server)
 	return nil
 }
--- a/standin/keyed/calls.go
+++ b/standin/keyed/calls.go
@@ -132,6 +132,11 @@
 // carryOut applies a call. It reports false if a greater fence was seen on one of
 // the keys of a grant.
 func (s *Server) carryOut(path string, c keyCall) bool {
+	select {
+	case <-s.stop:
+		return false // a late call for a run that has ended
+	default:
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	granted := KeyRange{From: c.From, To: c.To, Fence: c.Fence}
@@ -152,9 +157,30 @@
 	if path == wire.GrantPath {
 		s.called.ranges = append(s.called.ranges, granted)
 	}
+	s.observeCalledKeys()
 	return true
 }
 
+// observeCalledKeys tells the observer what the server holds by calls. The last end
+// of a hold stands for all: a node renews its grants under one lease, so that none
+// of the keys has another holder before it.
+func (s *Server) observeCalledKeys() {
+	if s.cfg.Observer == nil {
+		return
+	}
+	var held []KeyRange
+	var until time.Time
+	for _, r := range s.called.ranges {
+		if time.Now().Before(r.until) {
+			held = append(held, r)
+		}
+		if r.until.After(until) {
+			until = r.until
+		}
+	}
+	s.cfg.Observer.KeysGranted(s.cfg.Instance, held, until)
+}
+
 // without returns the parts of ranges outside of one.
 func without(ranges []KeyRange, r KeyRange) []KeyRange {
 	var out []KeyRange
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -59,6 +59,8 @@
 	Node, DataCentre, IP, Service string
 	// Store is the host of the store.
 	Store string
+	// Grants is the way of granting keys, or empty to leave it out.
+	Grants string
 }
 
 // EncodeSettings returns the text of a VM's settings file.
@@ -81,6 +83,9 @@
 	set("heartbeat", b.ReportInterval)
 	set("bounds", fmt.Sprintf("drain=%v,grace=%v,hold-max=10000ms,retry-budget-ratio=%v,budget-window=%v,budget-min-retries=%d",
 		b.DrainTime, b.GraceTime, b.RetryRatio, b.RetryWindow, b.MinRetries))
+	if v.Grants != "" {
+		set("grants", v.Grants)
+	}
 	set("platform.address", fmt.Sprintf("%s:%d", v.Store, PortStore))
 	return out.String()
 }
