shards: plan in time proportional to the rows

Change: rows are sorted, so that those that overlap are found by search; all releases are applied in one pass; a row that stays where it is costs nothing.

--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -332,7 +332,7 @@
 		clear(c.withheldHolders)
 	}
 	for _, r := range c.record.Rows {
-		if r.Holder == NoHolder {
+		if r.Holder == NoHolder || !reassigns(next, r) || isReleased(c.memberStates[r.Holder.Node], r) {
 			continue
 		}
 		for _, part := range unreleasedParts(c.memberStates[r.Holder.Node], r) {
@@ -343,6 +343,13 @@
 	}
 }
 
+// isReleased reports whether one release of a member covers a row.
+func isReleased(state *memberState, r Row) bool {
+	return state != nil && slices.ContainsFunc(state.releases, func(x Release) bool {
+		return x.Holder == r.Holder && x.Fence == r.Fence && x.From <= r.From && r.To <= x.To
+	})
+}
+
 // unreleasedParts returns the parts of a row that a member has not released.
 // state is nil if the member has not reported.
 func unreleasedParts(state *memberState, r Row) []Row {
@@ -358,13 +365,9 @@
 	return parts
 }
 
+// reassigns reports whether next, which is sorted, gives a part of a row away.
 func reassigns(next []Row, r Row) bool {
-	for _, n := range next {
-		if n.Overlaps(r.Span) && (n.Holder != r.Holder || n.Fence != r.Fence) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(overlappingRows(next, r.Span), func(n Row) bool { return n.Holder != r.Holder || n.Fence != r.Fence })
 }
 
 // CompleteWrite takes in the result of a write that was sent at sentAt. On
--- a/shards/plan.go
+++ b/shards/plan.go
@@ -78,16 +78,11 @@
 			rows[i].Holder, rows[i].Fence = state.holder, c.record.NextFence
 		}
 	}
+	var releases []Release
 	for _, state := range c.memberStates {
-		for _, release := range state.releases {
-			rows = updateSpan(rows, release.Span, func(r *Row) {
-				if r.Holder == release.Holder && r.Fence == release.Fence {
-					r.Holder, r.Handover = NoHolder, release.Handover
-				}
-			})
-		}
+		releases = append(releases, state.releases...)
 	}
-	return rows
+	return applyReleases(rows, releases)
 }
 
 // cannotHold reports whether a run can hold no keys any more.
--- a/shards/rows.go
+++ b/shards/rows.go
@@ -2,33 +2,55 @@
 
 import "slices"
 
-// updateSpan applies update to the parts of rows that lie inside span, and
-// splits rows at its bounds. The result is sorted and covers the same keys.
-func updateSpan(rows []Row, span Span, update func(*Row)) []Row {
-	out := make([]Row, 0, len(rows)+2)
+// applyReleases returns rows in which what their holders have released has no
+// holder any more. Rows are split at the bounds of the releases. The result is
+// sorted and covers the same keys.
+func applyReleases(rows []Row, releases []Release) []Row {
+	byHolder := make(map[Holder][]Release)
+	for _, release := range releases {
+		byHolder[release.Holder] = append(byHolder[release.Holder], release)
+	}
+	for _, list := range byHolder {
+		slices.SortStableFunc(list, func(a, b Release) int { return a.From - b.From })
+	}
+	out := make([]Row, 0, len(rows)+2*len(releases))
 	for _, r := range rows {
-		if !r.Overlaps(span) {
-			out = append(out, r)
-			continue
-		}
-		if r.From < span.From {
-			left := r
-			left.To = span.From - 1
-			out = append(out, left)
+		for _, release := range byHolder[r.Holder] {
+			if release.Fence != r.Fence || !release.Overlaps(r.Span) {
+				continue
+			}
+			if r.From < release.From {
+				left := r
+				left.To = release.From - 1
+				out = append(out, left)
+			}
+			free := r
+			free.From, free.To = max(r.From, release.From), min(r.To, release.To)
+			free.Holder, free.Handover = NoHolder, release.Handover
+			out = append(out, free)
+			r.From = free.To + 1
+			if r.From > r.To {
+				break
+			}
 		}
-		mid := r
-		mid.From, mid.To = max(r.From, span.From), min(r.To, span.To)
-		update(&mid)
-		out = append(out, mid)
-		if r.To > span.To {
-			right := r
-			right.From = span.To + 1
-			out = append(out, right)
+		if r.From <= r.To {
+			out = append(out, r)
 		}
 	}
 	return out
 }
 
+// overlappingRows returns the rows that share a key with a span. The rows are
+// sorted and do not overlap.
+func overlappingRows(rows []Row, s Span) []Row {
+	first, _ := slices.BinarySearchFunc(rows, s.From, func(r Row, from int) int { return r.To - from })
+	end := first
+	for end < len(rows) && rows[end].From <= s.To {
+		end++
+	}
+	return rows[first:end]
+}
+
 // mergeRows merges, in place, neighbouring rows that differ only in their span.
 // Rows with a handover are not merged, because it names the state of exactly
 // that span.
