peers, sidecar/nodes: send most beacons in a short form

Each of 195 nodes sends a beacon to each other twice a second.

Cause: a beacon is a JSON document of some 400 bytes, of which all but the load, the configuration's version and the tables' versions stays the same.

Change: a short beacon holds these as varints and names the entry of its sender by incarnation and serial. Whole ones are sent to a new node, four times after a change, each 5 s, and to whoever asks because it lacks the entry. Nodes that do not say that they understand short ones get whole ones.

The number of packets is as before: it still grows with the square of the fleet.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,8 @@
 	// StoreUnreachable is set while the node does not reach the platform's
 	// store.
 	StoreUnreachable bool `json:"no_store,omitempty"`
+	// ShortBeacons is set if the node understands short beacons.
+	ShortBeacons bool `json:"short,omitempty"`
 }
 
 // supersedes reports whether e replaces o, an entry of the same node.
@@ -92,6 +94,9 @@
 	// UnconfirmedMs holds, for each service that the node coordinates, how long
 	// it has had no access to the store.
 	UnconfirmedMs map[core.Service]int64 `json:"u,omitempty"`
+	// WantsEntry asks the receiver for a whole beacon, because its entry is not
+	// known here.
+	WantsEntry bool `json:"n,omitempty"`
 }
 
 // Peer is one node as of one snapshot.
--- a/peers/beacon.go
+++ b/peers/beacon.go
@@ -109,7 +109,7 @@
 	}
 	beacon, err := s.decode(from, buf[:n])
 	if err != nil {
-		return fleet.Beacon{}, &BeaconError{"decode", eris.Wrap(err, "json")}
+		return fleet.Beacon{}, &BeaconError{"decode", eris.Wrap(err, "datagram")}
 	}
 	return beacon, nil
 }
@@ -122,6 +122,9 @@
 func (s *BeaconSocket) decode(from netip.AddrPort, data []byte) (fleet.Beacon, error) {
 	var beacon fleet.Beacon
 	known := s.entries[from]
+	if len(data) > 0 && data[0] == shortBeacon {
+		return decodeShortBeacon(data, from, known.entry)
+	}
 	if n := len(known.prefix); n > 0 && len(data) > n && data[n] == ',' && string(data[:n]) == known.prefix {
 		beacon.Entry = known.entry
 		rest := data[n:]
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -63,7 +63,7 @@
 	return fleet.Entry{
 		Node: s.Node, Incarnation: incarnation, StartedUnixMs: time.Now().UnixMilli(), DataCentre: s.DataCentre,
 		InboundAddress: net.JoinHostPort(host, inbound), PeerAddress: net.JoinHostPort(ip, strconv.Itoa(s.FirstPeerPort)), Service: s.Service, Serial: 1,
-		CPUCores: s.CPUCores, LinkMbps: s.LinkMbps,
+		CPUCores: s.CPUCores, LinkMbps: s.LinkMbps, ShortBeacons: true,
 	}, nil
 }
 
--- a/sidecar/nodes/nodes.go
+++ b/sidecar/nodes/nodes.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,11 @@
 	// beaconInterval is the interval between beacons. Three fit into the time
 	// after which a silent node counts as lost.
 	beaconInterval = 500 * time.Millisecond
+	// wholeInterval is the interval between whole beacons. Those between are short,
+	// except that the first wholeRepeats beacons after a change of the entry are
+	// whole, since single datagrams are lost.
+	wholeInterval = 5 * time.Second
+	wholeRepeats  = 4
 	// ringCapacity bounds queued messages. A full ring drops the oldest ones,
 	// which is safe because beacons repeat.
 	ringCapacity = 256
@@ -94,6 +100,9 @@
 
 type receivedBeacon struct{ beacon fleet.Beacon }
 
+// unknownSender reports a short beacon whose sender's entry is not known.
+type unknownSender struct{ address string }
+
 // listedEntry and removedEntry pass on what a listing of the store shows.
 type listedEntry struct{ entry fleet.Entry }
 
@@ -146,8 +155,12 @@
 	self           fleet.Entry
 	lastBeaconTime clock.Instant
 	beaconSequence uint64 // of the last beacon
-	lostNodes      map[core.NodeID]bool
-	lag            fleet.ConfigLag
+	// wholeSentAt is when a whole beacon was last sent to all, and wholeLeft the
+	// number of whole ones that are still due after a change of the entry.
+	wholeSentAt clock.Instant
+	wholeLeft   int
+	lostNodes   map[core.NodeID]bool
+	lag         fleet.ConfigLag
 	// announcedVersion is the version of the configuration in the last beacon,
 	// and announcedAt when it was announced first.
 	announcedVersion uint64
@@ -159,7 +172,7 @@
 
 // Run runs the tracker's event loop until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
-	s := &state{Tracker: t, view: fleet.NewView(t.cfg.Self.Node), self: t.cfg.Self, lostNodes: map[core.NodeID]bool{}, nextFetch: map[core.Service]clock.Instant{}}
+	s := &state{Tracker: t, view: fleet.NewView(t.cfg.Self.Node), self: t.cfg.Self, lostNodes: map[core.NodeID]bool{}, nextFetch: map[core.Service]clock.Instant{}, wholeLeft: wholeRepeats}
 	s.view.ApplyEntry(s.now(), s.self)
 	s.publishSnapshot()
 	ring.Consume(ctx, t.messages, tickInterval, func(m message) { m.apply(s); s.publishSnapshot() }, s.tick)
@@ -176,6 +189,11 @@
 			t.enqueue(receivedBeacon{b})
 			continue
 		}
+		var unknown *peers.UnknownSenderError
+		if errors.As(err, &unknown) {
+			t.enqueue(unknownSender{unknown.From.String()})
+			continue
+		}
 		if ctx.Err() == nil {
 			t.cfg.Log.WithError(err).Warn("receiving a beacon from another node failed")
 			if e, ok := err.(*peers.BeaconError); ok && e.Op == "receive" {
@@ -196,6 +214,8 @@
 	s.view.ApplyBeacon(now, m.beacon)
 	if !known {
 		s.introduceSelf(m.beacon.Entry)
+	} else if m.beacon.WantsEntry {
+		s.sendWhole(m.beacon.Entry.PeerAddress, false)
 	}
 	controllers := s.cfg.KeyControllers()
 	for service, version := range m.beacon.TableVersions {
@@ -205,6 +225,9 @@
 	}
 }
 
+// apply sends the sender this node's entry, and asks for its own.
+func (m unknownSender) apply(s *state) { s.sendWhole(m.address, true) }
+
 func (m listedEntry) apply(s *state) {
 	if m.entry.Node != s.self.Node && s.view.ApplyEntry(s.now(), m.entry) {
 		s.introduceSelf(m.entry)
@@ -216,6 +239,7 @@
 func (m selfUpdate) apply(s *state) {
 	m.update(&s.self)
 	s.self.Serial++
+	s.wholeLeft = wholeRepeats
 	s.view.ApplyEntry(s.now(), s.self)
 	s.sendBeacons()
 }
@@ -226,8 +250,15 @@
 // answers with its own.
 func (s *state) introduceSelf(e fleet.Entry) {
 	s.cfg.Log.WithFields(log.Fields{"node": e.Node, "peer": e.PeerAddress, "serves": e.Service}).Info("new node found in the fleet")
-	if data, ok := s.encodeBeacon(); ok {
-		s.sendBeaconTo(data, e)
+	s.sendWhole(e.PeerAddress, false)
+}
+
+// sendWhole sends a whole beacon to one node.
+func (s *state) sendWhole(address string, wantsEntry bool) {
+	b := s.nextBeacon()
+	b.WantsEntry = wantsEntry
+	if data, ok := s.encode(b, peers.EncodeBeacon); ok {
+		s.sendTo(data, address)
 	}
 }
 
@@ -235,7 +266,8 @@
 // Nodes that lack it for longer are cut off.
 const digestPeriod = 10 * time.Second
 
-func (s *state) encodeBeacon() ([]byte, bool) {
+// nextBeacon returns the next beacon of this node.
+func (s *state) nextBeacon() fleet.Beacon {
 	local := s.cfg.LocalStatus()
 	if local.ConfigVersion != s.announcedVersion {
 		s.announcedVersion, s.announcedAt = local.ConfigVersion, s.now()
@@ -244,30 +276,52 @@
 		local.ConfigDigest = nil
 	}
 	s.beaconSequence++
-	data, err := peers.EncodeBeacon(fleet.Beacon{
+	return fleet.Beacon{
 		Entry: s.self, Sequence: s.beaconSequence, Running: local.Usage.Running, Waiting: local.Usage.Waiting, MeanServiceMicros: local.Usage.MeanServiceTime.Microseconds(),
 		LinkShare: local.Usage.LinkShare, ReadDelayMicros: local.Usage.ReadDelay.Microseconds(),
 		UnreadBodyBytes: local.Usage.UnreadBodyBytes,
 		FailedShare:     local.Usage.FailedShare, ConfigVersion: local.ConfigVersion, ConfigDigest: local.ConfigDigest, TableVersions: local.TableVersions, UnconfirmedMs: local.UnconfirmedMs,
-	})
+	}
+}
+
+func (s *state) encode(b fleet.Beacon, encode func(fleet.Beacon) ([]byte, error)) ([]byte, bool) {
+	data, err := encode(b)
 	if err != nil {
 		s.cfg.Log.WithError(err).Error("encoding this node's beacon failed; no beacon is sent")
 	}
 	return data, err == nil
 }
 
+// sendBeacons sends a beacon to each other node. It is whole where the receiver
+// may lack this node's entry or does not understand short ones.
 func (s *state) sendBeacons() {
-	data, ok := s.encodeBeacon()
+	now := s.now()
+	b := s.nextBeacon()
+	whole, ok := s.encode(b, peers.EncodeBeacon)
 	if !ok {
 		return
 	}
-	s.lastBeaconTime = s.now()
-	s.view.ForEachPeer(s.now(), func(e fleet.Entry) { s.sendBeaconTo(data, e) })
+	short := whole
+	if s.wholeLeft == 0 && now.Sub(s.wholeSentAt) < wholeInterval {
+		if short, ok = s.encode(b, peers.EncodeShortBeacon); !ok {
+			return
+		}
+	} else {
+		s.wholeSentAt, s.wholeLeft = now, max(0, s.wholeLeft-1)
+	}
+	s.lastBeaconTime = now
+	s.view.ForEachPeer(now, func(e fleet.Entry) {
+		if e.ShortBeacons {
+			s.sendTo(short, e.PeerAddress)
+		} else {
+			s.sendTo(whole, e.PeerAddress)
+		}
+	})
 }
 
-func (s *state) sendBeaconTo(data []byte, e fleet.Entry) {
-	if err := s.cfg.Socket.Send(data, e.PeerAddress); err != nil {
-		s.cfg.Log.WithError(err).WithField("node", e.Node).Debug("sending a beacon to another node failed")
+func (s *state) sendTo(data []byte, address string) {
+	if err := s.cfg.Socket.Send(data, address); err != nil {
+		s.cfg.Log.WithError(err).WithField("peer", address).Debug("sending a beacon to another node failed")
 	}
 }
 
--- a/sidecar/nodes/nodes_test.go
+++ b/sidecar/nodes/nodes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -159,3 +160,69 @@
 		}
 	}
 }
+
+// unknownSenderSocket delivers one short beacon whose sender is not known.
+type unknownSenderSocket struct {
+	recordingSocket
+	delivered *atomic.Bool
+}
+
+func (s unknownSenderSocket) Receive(buf []byte) (fleet.Beacon, error) {
+	if !s.delivered.Swap(true) {
+		return fleet.Beacon{}, &peers.BeaconError{Op: "decode", Cause: &peers.UnknownSenderError{From: netip.MustParseAddrPort("127.0.0.1:9")}}
+	}
+	return s.recordingSocket.Receive(buf)
+}
+
+// newTestTracker starts a tracker with a socket, without documents.
+func newTestTracker(t *testing.T, socket Socket) {
+	tracker := New(Config{
+		Self: fleet.Entry{Node: "me", Incarnation: 1, ShortBeacons: true}, Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default}, Socket: socket,
+		LocalStatus:     func() Status { return Status{} },
+		KeyControllers:  func() map[core.Service]KeyController { return nil },
+		OnTick:          func(clock.Instant, int) {},
+		OnNewerDocument: func(NewerDocument) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go tracker.Run(ctx)
+	go tracker.Receive(ctx)
+}
+
+// Guards against a node that takes another one for lost, because the whole beacon
+// that named its entry was lost.
+func TestUnknownSenderIsAskedForItsEntry(t *testing.T) {
+	socket := unknownSenderSocket{recordingSocket{fakeSocket{make(chan fleet.Beacon)}, make(chan []byte, 100)}, &atomic.Bool{}}
+	newTestTracker(t, socket)
+	defer close(socket.beacons)
+	var b fleet.Beacon
+	must.NoError(t, json.Unmarshal(<-socket.sent, &b))
+	must.True(t, b.WantsEntry)
+	must.Eq(t, "me", b.Entry.Node)
+}
+
+// Guards against a node that does not answer when it is asked for its entry, against
+// short beacons for nodes that do not understand them, and against whole ones all
+// the time, which are ten times as long.
+func TestMostBeaconsAreShort(t *testing.T) {
+	socket := recordingSocket{fakeSocket{make(chan fleet.Beacon)}, make(chan []byte, 100)}
+	newTestTracker(t, socket)
+	defer close(socket.beacons)
+	isWhole := func() bool { return (<-socket.sent)[0] == '{' }
+	other := fleet.Beacon{Entry: fleet.Entry{Node: "other", Incarnation: 2, PeerAddress: "there", Serial: 1, ShortBeacons: true}}
+	socket.beacons <- other
+	whole := 0
+	for isWhole() {
+		whole++
+	}
+	must.Between(t, wholeRepeats, whole, wholeRepeats+1)
+	other.WantsEntry, other.Sequence = true, 1
+	socket.beacons <- other
+	must.True(t, isWhole())
+	must.False(t, isWhole())
+	other.Entry.Serial, other.Entry.ShortBeacons, other.WantsEntry = 2, false, false
+	socket.beacons <- other
+	for range 2 {
+		must.True(t, isWhole())
+	}
+}
