shards: keep a recalled row while the run holds it, after a restart of its node

What could happen: a key has two holders for up to 2.9 s.

Cause: a new process of a node did not know which rows its former process had granted. A row that was recalled before the first status report counted as never granted and was released with that report, although it named the row among those that the run held. If the answer to the report was lost, the run kept it while another one got it.

Change: what the report names as held is not released. A row that the run then frees is released with its handover.

Result: TestRecalledRowOfFormerProcessStaysWhileTheRunHoldsIt fails on the former code. The way by calls was sound (TestRecalledRowOfFormerProcessIsTakenBackByCalls).

--- a/shards/callgrants.go
+++ b/shards/callgrants.go
@@ -138,7 +138,7 @@
 	m.calls.noteLapse(now, m.leaseEnd)
 	m.updateCallRows(now)
 	m.releaseTakenBack(now)
-	m.releaseUngranted()
+	m.releaseUngranted(nil, nil)
 	if m.calls.awaitsReport {
 		return nil
 	}
--- a/shards/member.go
+++ b/shards/member.go
@@ -151,7 +151,7 @@
 		m.releaseSpan(freed.Span, freed.Handover)
 	}
 	m.releaseExpired(now, r.Holds)
-	m.releaseUngranted()
+	m.releaseUngranted(r.Holds, r.Freed)
 	return m.nextGrant(now, r.Holds)
 }
 
@@ -161,14 +161,21 @@
 	m.releases = append(m.releases, release)
 }
 
-// releaseUngranted releases recalled rows that were never granted, for example
-// because the grant had no room for them.
-func (m *Member) releaseUngranted() {
+// releaseUngranted releases recalled rows that this process has not granted, for
+// example because the grant had no room for them, or because the former process of
+// the node granted them. holds are the spans that the run holds or still works on,
+// freed those that it has just released.
+func (m *Member) releaseUngranted(holds, freed []Row) {
 	for _, r := range m.recalled {
 		alreadyReleased := slices.ContainsFunc(m.releases, func(release Release) bool { return release.Overlaps(r.Span) && release.Fence == r.Fence })
-		if r.Holder == m.holder && !m.mayHold(r.Span) && !alreadyReleased {
-			m.queueRelease(Release{Span: r.Span, Holder: r.Holder, Fence: r.Fence})
+		if r.Holder != m.holder || m.mayHold(r.Span) || alreadyReleased || overlapsAnyRow(r.Span, holds) {
+			continue
 		}
+		release := Release{Span: r.Span, Holder: r.Holder, Fence: r.Fence}
+		if i := slices.IndexFunc(freed, func(f Row) bool { return f.Span == r.Span }); i >= 0 {
+			release.Handover = freed[i].Handover
+		}
+		m.queueRelease(release)
 	}
 }
 
--- a/shards/restart_test.go
+++ b/shards/restart_test.go
@@ -59,3 +59,51 @@
 	must.Eq(t, []Row{{Span: Span{0, KeyCount - 1}, Holder: later, Fence: 9}}, next.Rows, must.Sprint(fmt.Sprint(next.Rows)))
 	must.Eq(t, 10, next.NextFence)
 }
+
+// newRestartedMember returns the member of a node whose former process granted a
+// row that the coordinator recalls, before the first report of the run.
+func newRestartedMember() (*Member, Row) {
+	h := Holder{Node: "n", Instance: "i", Born: 1}
+	row := Row{Span: Span{100, 199}, Holder: h, Fence: 7}
+	m := NewMember("s", "n", 2, 10*time.Second)
+	m.AddRun(h, 4)
+	m.BuildRequest()
+	m.HandleAnswer(testStart, LeaseAnswer{Term: 1, Coordinator: true, Lease: 3 * time.Second, Version: 1, Return: []Row{row}})
+	return m, row
+}
+
+// Guards against two holders after a restart of a node: a row that the former
+// process granted was released at the first report, although the run still held it
+// and may not get the answer that takes it away.
+func TestRecalledRowOfFormerProcessStaysWhileTheRunHoldsIt(t *testing.T) {
+	m, row := newRestartedMember()
+	report := BackendReport{Holder: row.Holder, Ready: true, Slots: 4, Holds: []Row{row}}
+	m.HandleReport(testStart, report)
+	must.SliceEmpty(t, m.BuildRequest().Freed)
+	report.Holds = nil
+	m.HandleReport(testStart.Add(time.Second), report)
+	must.Len(t, 1, m.BuildRequest().Freed)
+}
+
+// Guards against the same for rows that are granted by calls: the row is taken back
+// first, under a fence that calls of the former process cannot have.
+func TestRecalledRowOfFormerProcessIsTakenBackByCalls(t *testing.T) {
+	m, row := newRestartedMember()
+	m.GrantByCall(true)
+	now := testStart
+	var fences []int64
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		for _, c := range m.NextCalls(now, 8) {
+			must.SliceEmpty(t, m.BuildRequest().Freed)
+			must.Eq(t, row.Span, c.Span)
+			fences = append(fences, c.Fence)
+			m.CompleteCall(now, c, CallResult{Outcome: CallDone, Handover: "state"})
+		}
+	}
+	must.Len(t, 2, fences) // a grant that ends the doubt, and the release
+	must.Less(t, fences[0], row.Fence)
+	freed := m.BuildRequest().Freed
+	must.Len(t, 1, freed)
+	must.Eq(t, "state", freed[0].Handover)
+}
