shards: return the rows of a leaving run whose node has started again

What callers saw: nothing was measured; requests for keys of a backend server that drains would be refused until it ends, if its node starts again meanwhile.

Cause: a member without rows for a run that leaves was told no rows at all, and so a new process did not know what the run had. It released nothing; the lease went on, so that the coordinator waited.

Change: the coordinator names all rows of a run that leaves as to be returned.

Result: TestRowsOfALeavingRunAreReturnedAfterARestart fails on the former code, for both ways of granting.

--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -223,7 +223,7 @@
 	}
 	state.holder, state.ready, state.slots, state.demand = r.Holder, r.Ready, max(1, r.Slots), r.Demand
 	state.lastRequestAt, state.releases, state.endedRuns = now, r.Freed, r.Over
-	a := LeaseAnswer{Term: c.record.Term, Coordinator: true, Return: state.recalled, FreedThrough: c.lastRecordedRelease(state)}
+	a := LeaseAnswer{Term: c.record.Term, Coordinator: true, Return: c.rowsToReturn(state), FreedThrough: c.lastRecordedRelease(state)}
 	rows := c.grantableRows(state)
 	if !equalRows(rows, state.sentRows) || state.rowsVersion == 0 {
 		state.sentRows = rows
@@ -291,6 +291,20 @@
 	return rows
 }
 
+// rowsToReturn returns the rows that a member is to return: those that are recalled,
+// and all of a run that leaves. A process that started after they were granted knows
+// of the latter from this alone.
+func (c *Coordinator) rowsToReturn(state *memberState) []Row {
+	if state.ready || state.holder == NoHolder {
+		return state.recalled
+	}
+	rows := c.rowsByHolder[state.holder]
+	for _, release := range state.releases {
+		rows = subtractSpan(rows, release.Span, release.Fence)
+	}
+	return rows
+}
+
 // subtractSpan removes a span from those rows that have a given fence.
 func subtractSpan(rows []Row, s Span, fence int64) []Row {
 	var out []Row
--- a/shards/restart_test.go
+++ b/shards/restart_test.go
@@ -107,3 +107,36 @@
 	must.Len(t, 1, freed)
 	must.Eq(t, "state", freed[0].Handover)
 }
+
+// Guards against keys that nobody serves while their run leaves, because its node
+// started again: the new process did not know that the run had them.
+func TestRowsOfALeavingRunAreReturnedAfterARestart(t *testing.T) {
+	for _, byCall := range []bool{false, true} {
+		c, requests, now := newLargeCoordinator(2)
+		r := requests[0]
+		r.Incarnation, r.Ready = 9, false
+		m := NewMember("s", r.Node, r.Incarnation, 10*time.Second)
+		m.GrantByCall(byCall)
+		m.HandleReport(now, BackendReport{Holder: r.Holder, Ready: false, Slots: 4})
+		for range 200 {
+			now = now.Add(50 * time.Millisecond)
+			if !byCall {
+				m.HandleReport(now, BackendReport{Holder: r.Holder, Ready: false, Slots: 4})
+			}
+			for _, call := range m.NextCalls(now, 8) {
+				m.CompleteCall(now, call, CallResult{Outcome: CallDone, Handover: "state"})
+			}
+			m.HandleAnswer(now, c.HandleRequest(now, m.BuildRequest()))
+			c.HandleRequest(now, requests[1])
+			record, revision := c.Record()
+			c.ObserveRecord(now, record, revision)
+			if next, ok := c.Plan(now); ok {
+				c.CompleteWrite(now, now, true, next, revision+1)
+			}
+		}
+		record, _ := c.Record()
+		for _, row := range record.Rows {
+			must.Eq(t, requests[1].Holder, row.Holder, must.Sprintf("by call %v: %v", byCall, row))
+		}
+	}
+}
