--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -55,6 +55,7 @@
 			return 0
 		},
 		"config_behind_ms":      n.configBehind,
+		"requests_pipelined":    func() int64 { return int64(n.outbound.Stats().AheadExchanges) },
 		"backend_answers_stray": n.backend.StrayAnswers,
 		"peer_answers_stray":    n.peerLinks.strayAnswers,
 		"nodes_known":           func() int64 { return int64(len(n.nodes.Snapshot().Nodes)) },
