shards: divide busy keys among the members of a service

Cause: the coordinator knew the demand of a member, but not which of its keys it concerns. It moved as many keys as the excess was of all keys of the member, from the first row on, so that busy keys that lie together stayed together or moved together.

Change: the node beside a backend server counts the requests by key for half a second and tells with its lease request 24 spans with about the same part of its work. The coordinator recalls the densest ones up to the excess, except a span with more than that, and counts their work for the member that gets them until its demand shows it. Only where keys are granted by calls, where a move makes them unavailable for some 100 ms; the other way stays as it was.

TestBusyKeysAreDividedAmongMembers replays the load; with the loads left out all 100 busy keys stay with one member.

--- a/shards/balance.go
+++ b/shards/balance.go
@@ -37,6 +37,12 @@
 	// recallInterval separates moves, so that the averages show the effect of
 	// the previous one.
 	recallInterval = 2 * time.Second
+	// recallIntervalByCall is the same where keys are granted by calls. They are
+	// unavailable for some 100 ms, and the members report their demand sooner.
+	recallIntervalByCall = time.Second
+	// maxRowsPerMember bounds the rows of a member on average, beyond which rows are
+	// not divided any more.
+	maxRowsPerMember = 128
 	// balanceInterval separates checks of the balance, each of which goes
 	// through all rows. Members report every 400 ms.
 	balanceInterval = 200 * time.Millisecond
@@ -60,10 +66,12 @@
 	demand      float64
 	// demandPerKey is the estimated demand of one more key.
 	demandPerKey float64
+	// addedDemand is that of busy keys that the run has just got.
+	addedDemand float64
 }
 
 // estimatedDemand returns the demand that the run's keys are expected to cause.
-func (m *assignee) estimatedDemand() float64 { return float64(m.keys) * m.demandPerKey }
+func (m *assignee) estimatedDemand() float64 { return float64(m.keys)*m.demandPerKey + m.addedDemand }
 
 // assignees returns the runs that accept keys, sorted by node.
 func (c *Coordinator) assignees(now clock.Instant, rows []Row) []*assignee {
@@ -132,7 +140,12 @@
 		c.recallFor(m, members, want)
 		return
 	}
-	if now.Sub(c.recallSeenAt) >= recallInterval {
+	interval := recallInterval
+	if c.fencesPerRow > 1 {
+		interval = recallIntervalByCall
+	}
+	if now.Sub(c.recallSeenAt) >= interval {
+		c.movedLoads = nil
 		c.relieveOverloaded(members)
 	}
 }
@@ -175,11 +188,47 @@
 		if !m.demandKnown || m.demand < overloadDemand || m.demand-lowest < minDemandGap || m.demand <= mean {
 			continue
 		}
-		want := int(correctionShare * (m.demand - mean) / m.demand * float64(m.keys))
+		part := correctionShare * (m.demand - mean) / m.demand
+		if c.recallBusyKeys(m, part, len(members)) {
+			continue
+		}
+		want := int(part * float64(m.keys))
 		budget -= c.recallKeys(m, rows, stride, min(want, budget))
 	}
 }
 
+// recallBusyKeys recalls the busiest keys of a run that make up a part of its work.
+// It returns false if the run has not told which these are.
+func (c *Coordinator) recallBusyKeys(m *assignee, part float64, members int) bool {
+	state := c.memberStates[m.holder.Node]
+	if len(state.loads) == 0 || len(c.record.Rows) > members*maxRowsPerMember {
+		return false
+	}
+	for _, l := range spansToMove(state.loads, part) {
+		for _, r := range overlappingRows(c.record.Rows, l.Span) {
+			if r.Holder != m.holder {
+				continue
+			}
+			r.From, r.To = max(r.From, l.From), min(r.To, l.To)
+			state.recalled = append(state.recalled, r)
+		}
+		c.movedLoads = append(c.movedLoads, movedLoad{l.Span, l.Share * m.demand * float64(m.slots)})
+	}
+	return true
+}
+
+// takeMovedLoad returns the work of the busy keys of a row that has got a new
+// holder, in slots.
+func (c *Coordinator) takeMovedLoad(s Span) float64 {
+	work := 0.0
+	for _, l := range c.movedLoads {
+		if l.Overlaps(s) {
+			work += l.work
+		}
+	}
+	return work
+}
+
 // hasRecalledRows reports whether recalled rows have not been returned yet.
 func (c *Coordinator) hasRecalledRows() bool {
 	for _, state := range c.memberStates {
--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -15,6 +15,7 @@
 	ready       bool
 	slots       int
 	demand      float64
+	loads       []KeyLoad
 	// readySince is when the present run first reported that it is ready. It is
 	// meaningful only while ready is set.
 	readySince clock.Instant
@@ -59,7 +60,10 @@
 	membersChangedAt clock.Instant // last change of the set of ready members
 	balanceCheckedAt clock.Instant // last check of the balance
 	recallSeenAt     clock.Instant // last time at which recalled rows were outstanding
-	writePending     bool
+	// movedLoads are the spans that were recalled for their load and have no
+	// holder yet.
+	movedLoads   []movedLoad
+	writePending bool
 	// withheldHolders are the runs from which a write that is under way takes
 	// keys that they have not released. They get no lease, whether or not their
 	// member has reported them before.
@@ -222,6 +226,7 @@
 		state.readySince, c.membersChangedAt = now, now
 	}
 	state.holder, state.ready, state.slots, state.demand = r.Holder, r.Ready, max(1, r.Slots), r.Demand
+	state.loads = r.Loads
 	state.lastRequestAt, state.releases, state.endedRuns = now, r.Freed, r.Over
 	a := LeaseAnswer{Term: c.record.Term, Coordinator: true, Return: c.rowsToReturn(state), FreedThrough: c.lastRecordedRelease(state)}
 	rows := c.grantableRows(state)
--- /dev/null
+++ b/shards/keyload_test.go
@@ -0,0 +1,98 @@
+package shards
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against spans that leave requests out, overlap, or join a busy key with
+// others, so that it cannot be moved alone.
+func TestLoadIsDividedIntoEqualParts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := map[int]int{}
+	for range 1000 {
+		counts[random.IntN(KeyCount)]++
+	}
+	for key := range 200 {
+		counts[30000+key] += 3
+	}
+	counts[50000] += 400
+	loads := DivideByLoad(counts)
+	must.Between(t, maxKeyLoads/2, len(loads), 2*maxKeyLoads)
+	sum, hot := 0.0, 0
+	for i, l := range loads {
+		must.True(t, l.From <= l.To && (i == 0 || loads[i-1].To < l.From))
+		sum += l.Share
+		if l.From >= 30000 && l.To < 30200 {
+			hot++
+		}
+		if l.From <= 50000 && 50000 <= l.To {
+			must.Eq(t, 1, l.Width())
+		}
+	}
+	must.Between(t, 0.999, sum, 1.001)
+	must.Between(t, 5, hot, 12) // 30% of the requests
+	must.SliceEmpty(t, DivideByLoad(nil))
+}
+
+// Guards against the busiest keys staying together: 200 neighbouring keys that get
+// a third of the requests of a service within seconds (hot_key) overload their
+// holder, while moves of whole rows only move the overload on.
+func TestBusyKeysAreDividedAmongMembers(t *testing.T) {
+	c, requests, now := newLargeCoordinator(6)
+	c.GrantByCall(true)
+	record, _ := c.Record()
+	hot := Span{record.Rows[10].From, record.Rows[10].From + 99}
+	holder := record.Rows[10].Holder
+	members := map[Holder]*Member{}
+	for i := range requests {
+		m := NewMember("s", requests[i].Node, requests[i].Incarnation, 10*time.Second)
+		m.GrantByCall(true)
+		m.HandleReport(now, BackendReport{Holder: requests[i].Holder, Ready: true, Slots: 9})
+		members[requests[i].Holder] = m
+	}
+	// holders returns how many of the hot keys each member has.
+	holders := func() map[Holder]int {
+		out := map[Holder]int{}
+		record, _ := c.Record()
+		for k := hot.From; k <= hot.To; k++ {
+			out[record.Find(k).Holder]++
+		}
+		return out
+	}
+	must.Eq(t, map[Holder]int{holder: 100}, holders())
+	for i := range 140 { // 7 s
+		now = now.Add(50 * time.Millisecond)
+		shares := holders()
+		for h, m := range members {
+			counts := map[int]int{}
+			for k := hot.From; k <= hot.To; k++ {
+				if record, _ := c.Record(); record.Find(k).Holder == h {
+					counts[k] = 2
+				}
+			}
+			demand := 0.4
+			if i > 80 { // all members have been ready for long enough
+				demand += 1.2 * float64(shares[h]) / 100
+			}
+			m.SetLoad(demand, DivideByLoad(counts))
+			for _, call := range m.NextCalls(now, 8) {
+				m.CompleteCall(now, call, CallResult{Outcome: CallDone, Handover: "state"})
+			}
+			m.HandleAnswer(now, c.HandleRequest(now, m.BuildRequest()))
+		}
+		record, revision := c.Record()
+		c.ObserveRecord(now, record, revision)
+		if next, ok := c.Plan(now); ok {
+			c.CompleteWrite(now, now, true, next, revision+1)
+		}
+	}
+	after := holders()
+	must.GreaterEq(t, 4, len(after), must.Sprint(after))
+	for h, keys := range after {
+		must.LessEq(t, 60, keys, must.Sprint(h, after))
+	}
+}
--- a/shards/member.go
+++ b/shards/member.go
@@ -21,6 +21,7 @@
 	ready  bool
 	slots  int
 	demand float64
+	loads  []KeyLoad
 
 	term        uint64
 	rowsVersion uint64
@@ -92,6 +93,9 @@
 	}
 }
 
+// SetLoad sets what the next request tells of the work that callers ask of the run.
+func (m *Member) SetLoad(demand float64, loads []KeyLoad) { m.demand, m.loads = demand, loads }
+
 // MarkLeaving records that the present run accepts no more keys.
 func (m *Member) MarkLeaving() { m.ready = false }
 
@@ -245,7 +249,7 @@
 	m.requestedFor = m.holder
 	return LeaseRequest{
 		Service: m.service, Node: m.node, Incarnation: m.incarnation, Term: m.term,
-		Holder: m.holder, Ready: m.ready, Slots: m.slots, Demand: m.demand,
+		Holder: m.holder, Ready: m.ready, Slots: m.slots, Demand: m.demand, Loads: m.loads,
 		Freed: append([]Release(nil), m.releases...), Over: append([]Holder(nil), m.endedRuns...), Rows: m.rowsVersion,
 	}
 }
--- a/shards/plan.go
+++ b/shards/plan.go
@@ -126,6 +126,7 @@
 		m := slices.MinFunc(members, func(a, b *assignee) int { return cmp.Compare(a.estimatedDemand(), b.estimatedDemand()) })
 		rows[i].Holder, rows[i].Fence = m.holder, fence
 		m.keys += rows[i].Width()
+		m.addedDemand += c.takeMovedLoad(rows[i].Span) / float64(m.slots)
 	}
 	return c.mergeChanged(rows)
 }
--- a/shards/types.go
+++ b/shards/types.go
@@ -121,6 +121,9 @@
 	// Demand is the work that callers ask of the run, as a share of what its
 	// slots can do. Above 1 the run cannot keep up.
 	Demand float64
+	// Loads tells which keys the work concerns, or is empty. The spans do not
+	// overlap.
+	Loads []KeyLoad
 	// Freed lists the releases that the coordinator has not acknowledged.
 	Freed []Release
 	// Over lists earlier runs beside this member that have ended.
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -98,6 +98,7 @@
 	inFlight     atomic.Int64
 	// demandBits is the demand as the bits of a float64.
 	demandBits atomic.Uint64
+	keyLoads   atomic.Pointer[keyLoads]
 	counts     counters
 	// maxReported is the highest load that the backend server has reported since
 	// TakeMaxReportedLoad was called.
@@ -150,6 +151,7 @@
 		events: ring.New[event]("backend_events", eventRingCapacity, ring.Block),
 	}
 	p.usage.Store(&fleet.Usage{})
+	p.keyLoads.Store(&keyLoads{})
 	g, err := gate.New(gate.Config{
 		BackendAddr: cfg.Address, Dialect: platform.BackendDialect{}, Permit: p.permit, TCPUserTimeout: tcpUserTimeout, BufferSize: connBufferSize,
 		MaxConns: maxConns, DialTimeout: dialTimeout, IdleTimeout: idleTimeout,
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -50,6 +51,8 @@
 	// statement is what the answer says of the run. It is set before the completion
 	// of the request is queued, and nil without an answer.
 	statement *platform.Statement
+	// key is the key of the request, or -1.
+	key int
 }
 
 // event is an input of the proxy's event loop other than a slotRequest.
@@ -116,6 +119,7 @@
 	// arrivals counts the slot requests since demandUpdatedAt.
 	arrivals        int
 	demandUpdatedAt clock.Instant
+	keys            keyCounter
 }
 
 const (
@@ -147,6 +151,7 @@
 	demand = min(demand, maxDemand)
 	old := math.Float64frombits(st.demandBits.Load())
 	st.demandBits.Store(math.Float64bits(old + demandWeight*(demand-old)))
+	st.keyLoads.Store(st.keys.endInterval(demand))
 	st.arrivals, st.demandUpdatedAt = 0, now
 }
 
@@ -227,6 +232,10 @@
 		ticket: slotqueue.Ticket{Class: req.Route, Priority: req.Priority, TargetTime: toInstant(req.TargetTime), Deadline: toInstant(req.Deadline)},
 		sendID: req.SendID, instance: req.Instance, rateLimit: req.RateLimit, decision: ring.NewReply[*core.Error](),
 	}
+	request.key = -1
+	if key, err := strconv.Atoi(req.Key); err == nil {
+		request.key = key
+	}
 	request.ticket.CallerData = request
 	if p.requests.Push(ctx, request) != nil {
 		return nil, core.Fail(core.CodeOverloaded, "the node's ring of requests for the backend server is full")
@@ -286,6 +295,9 @@
 // offerRequest passes a slot request to the queue.
 func (st *state) offerRequest(request *slotRequest) {
 	st.arrivals++
+	if request.key >= 0 {
+		st.keys.count(request.key)
+	}
 	st.counts.offered.Add(1)
 	st.adoptLimit(request)
 	decision := st.queue.Offer(st.now(), &request.ticket)
--- a/sidecar/keys/calls.go
+++ b/sidecar/keys/calls.go
@@ -37,6 +37,9 @@
 		return
 	}
 	s.lastReport = now
+	if s.cfg.Load != nil && s.byCall.Load() {
+		s.member.SetLoad(s.cfg.Load())
+	}
 	request := s.member.BuildRequest()
 	if s.coord.Active() {
 		s.handleAnswer(now, s.coord.HandleRequest(now, request))
--- a/sidecar/keys/keys.go
+++ b/sidecar/keys/keys.go
@@ -98,6 +98,9 @@
 	// releases are made at once. It may be nil on nodes of other services.
 	Caller   BackendCaller
 	MaxCalls int
+	// Load returns the work that callers ask of the backend server, and which keys
+	// it concerns. It may be nil on nodes of other services.
+	Load func() (demand float64, loads []shards.KeyLoad)
 	// OnRecordWritten is called on the controller's goroutine after each
 	// successful write of the record.
 	OnRecordWritten func()
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -337,7 +337,7 @@
 			Service: s.Name, Node: n.self.Node, Incarnation: n.self.Incarnation, IsMember: s.Name == n.self.Service,
 			MaxHold: n.cfg.Settings.Bounds.MaxHoldTime, Clock: n.clock, Log: n.log, Pool: n.pool,
 			Records: recordStore{n.store}, Client: n.peerClient, OnRecordWritten: n.nodes.SendBeacons,
-			Caller: n.keyCaller, MaxCalls: backend.MaxKeyCalls,
+			Caller: n.keyCaller, MaxCalls: backend.MaxKeyCalls, Load: n.backend.KeyLoads,
 		})
 		if byCall {
 			controller.GrantByCall(true)
