--- a/sidecar/direct_test.go
+++ b/sidecar/direct_test.go
@@ -50,6 +50,22 @@
 	f.waitFor("each key is held after the late calls", 5*time.Second, func() bool { return f.eachKeyHeldOnce("prices") })
 }
 
+// Guards against a second copy of an answer that passes for the answer to the next
+// call: a release that counts as done while work on its keys runs, or a grant that
+// ends a doubt without having been carried out.
+func TestRepeatedAnswersToCallsGiveNoKeyTwoHolders(t *testing.T) {
+	f := startDirectFleet(t, "prices", "prices", "prices")
+	for _, b := range f.backends {
+		b.SetCallFaults(keyed.CallFaults{Every: 5, Late: time.Second, Twice: true})
+	}
+	time.Sleep(1500 * time.Millisecond) // all grants are renewed with repeated answers
+	f.backends[0].Leave()
+	f.waitFor("the keys of the leaving backend server are granted to the others", 8*time.Second, func() bool {
+		return f.eachKeyHeldOnce("prices") && len(f.backends[0].KeyRanges()) == 0
+	})
+	must.True(t, f.servesAllKeys())
+}
+
 // Guards against keys that stay with a node's former process: the next one must
 // renew their grants without a move.
 func TestRestartedNodeRenewsGrantsByCalls(t *testing.T) {
--- a/standin/keyed/calls.go
+++ b/standin/keyed/calls.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"marjoramshore.example/standin/garble"
 	"marjoramshore.example/standin/wire"
 )
 
@@ -29,6 +30,8 @@
 	Every int
 	// Late is the time after which a call without an answer is carried out.
 	Late time.Duration
+	// Twice sends each answer twice.
+	Twice bool
 }
 
 // GrantCalls returns the number of calls that concerned keys.
@@ -99,6 +102,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if f.Twice {
+		garble.FromContext(r.Context()).Arm(garble.Twice, int(s.faultVariant.Add(1)))
+	}
 	if !s.carryOut(r.URL.Path, c) {
 		w.WriteHeader(http.StatusConflict)
 		return
