sidecar: create a node's address with one call when the system starts

Each node read its address before it wrote it, also when the whole system starts for the first time and none is there. Change: at such a start the address is created at once; only if one is there it is read and compared. Result: one call less for each node at a first start.

--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -59,13 +59,19 @@
 }
 
 // announceAddress writes the node's address to the store, unless it is there
-// already.
+// already. At the first start of the whole system it seldom is, so that it is
+// created without a look.
 func (n *Node) announceAddress(ctx context.Context) error {
 	spec, err := json.Marshal(addressEntry(n.self))
 	if err != nil {
 		return &Error{"encode the node's address", err}
 	}
 	name := nodePrefix + string(n.self.Node)
+	if n.cfg.Settings.FirstStart {
+		if _, err := n.store.Create(ctx, objectKind, name, spec); platform.FaultOf(err) != platform.FaultConflict {
+			return err
+		}
+	}
 	o, err := n.store.Get(ctx, objectKind, name)
 	switch platform.FaultOf(err) {
 	case 0:
