sidecar/keys: divide busy keys where they are granted in reports, too

Change: members tell their load by key in both cases; moves keep their interval of two seconds. TestBusyKeysAreDividedAmongMembers/by_report fails without the loads: nobody gets a part of the keys.

--- a/sidecar/keys/calls.go
+++ b/sidecar/keys/calls.go
@@ -37,7 +37,7 @@
 		return
 	}
 	s.lastReport = now
-	if s.cfg.Load != nil && s.byCall.Load() {
+	if s.cfg.Load != nil {
 		s.member.SetLoad(s.cfg.Load())
 	}
 	request := s.member.BuildRequest()
