frontend: pass pipelined requests through a bounded ring

Cause: the watch of a connection and its goroutine shared a list of requests under a mutex, which is not the shape of this code. Result: the tests of frontend pass twice with the race detector.

--- a/frontend/pipeline.go
+++ b/frontend/pipeline.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"context"
 	"io"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
@@ -41,21 +41,25 @@
 	// watch reads the connection while an exchange is served. The connection's
 	// goroutine starts and stops it.
 	watch *disconnectWatch
-	// inTurn is set once the next request must wait for its turn. The goroutine
-	// that reads the connection owns it.
-	inTurn bool
+	// inTurn is set once the next request must wait for its turn, and readCount
+	// counts the requests that were read ahead. The goroutine that reads the
+	// connection owns both.
+	inTurn    bool
+	readCount int
+	// ahead is nil until the first request is read ahead.
+	ahead atomic.Pointer[aheadRequests]
+	// waiting counts the requests that were read ahead and are not answered, and
+	// waitingBytes the bodies of their answers.
+	waiting, waitingBytes atomic.Int64
+}
 
-	mu sync.Mutex
-	// ctx is the context of all requests read ahead, which ends when the caller
-	// disconnects. It is nil until one is read.
+// aheadRequests passes the requests that were read ahead from the watch to the
+// connection's goroutine, in their order. Its ring has room for all that may wait.
+type aheadRequests struct {
+	ring chan *aheadExchange
+	// ctx is the context of all of them. It ends when the caller disconnects.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// waiting are the requests that were read ahead, in their order.
-	waiting []*aheadExchange
-	// readCount counts all requests that were read ahead.
-	readCount int
-	// waitingBytes is the length of the bodies of waiting answers.
-	waitingBytes int64
 }
 
 // aheadExchange is a request that was read ahead. done is closed once resp or err
@@ -84,10 +88,8 @@
 
 // cancelAhead ends the requests that were read ahead.
 func (p *pipeline) cancelAhead() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cancel != nil {
-		p.cancel()
+	if a := p.ahead.Load(); a != nil {
+		a.cancel()
 	}
 }
 
@@ -123,10 +125,8 @@
 // mayReadAhead reports whether the limits of the connection allow another request
 // to be read. A node that stops reads no more.
 func (p *pipeline) mayReadAhead() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	first := &p.first.rc.Request.Header
-	return first.IsHTTP11() && !first.ConnectionClose() && len(p.waiting) < maxAhead && p.waitingBytes < maxAheadBytes && p.readCount < maxAheadRun && !p.frontend.draining.Load()
+	return first.IsHTTP11() && !first.ConnectionClose() && p.waiting.Load() < maxAhead && p.waitingBytes.Load() < maxAheadBytes && p.readCount < maxAheadRun && !p.frontend.draining.Load()
 }
 
 // newExchange returns the exchange of a request that may run ahead of its turn, or
@@ -152,14 +152,16 @@
 	f.counts.exchanges.Add(1)
 	f.counts.ahead.Add(1)
 	inFlight := f.inFlight.Add(1)
-	p.mu.Lock()
-	if p.ctx == nil {
-		p.ctx, p.cancel = context.WithCancel(context.Background())
+	a := p.ahead.Load()
+	if a == nil {
+		a = &aheadRequests{ring: make(chan *aheadExchange, maxAhead)}
+		a.ctx, a.cancel = context.WithCancel(context.Background())
+		p.ahead.Store(a)
 	}
-	x.ctx = p.ctx
-	p.waiting = append(p.waiting, x)
+	x.ctx = a.ctx
 	p.readCount++
-	p.mu.Unlock()
+	p.waiting.Add(1)
+	defer func() { a.ring <- x }() // has room, since at most maxAhead wait
 	if inFlight > int64(f.cfg.MaxExchanges) {
 		f.counts.refused.Add(1)
 		x.err = core.Fail(core.CodeOverloaded, "too many concurrent requests")
@@ -182,29 +184,29 @@
 	if x.resp == nil || x.resp.Length < 0 || x.resp.Length > maxAheadBody {
 		return
 	}
-	p.mu.Lock()
-	p.waitingBytes += x.resp.Length
-	p.mu.Unlock()
+	p.waitingBytes.Add(x.resp.Length)
 	x.err = x.resp.ReadAll()
 }
 
-// next returns the request whose turn it is, or nil if none was read ahead.
+// next takes the request whose turn it is, or returns nil if none was read ahead.
 func (p *pipeline) next() *aheadExchange {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.waiting) == 0 {
+	a := p.ahead.Load()
+	if a == nil {
+		return nil
+	}
+	select {
+	case x := <-a.ring:
+		return x
+	default:
 		return nil
 	}
-	return p.waiting[0]
 }
 
-// remove ends the turn of the first waiting request.
-func (p *pipeline) remove(x *aheadExchange) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waiting = p.waiting[1:]
+// endTurn ends the turn of a request.
+func (p *pipeline) endTurn(x *aheadExchange) {
+	p.waiting.Add(-1)
 	if x.resp != nil && x.resp.Length >= 0 && x.resp.Length <= maxAheadBody {
-		p.waitingBytes -= x.resp.Length
+		p.waitingBytes.Add(-x.resp.Length)
 	}
 	if x.cancel != nil {
 		x.cancel()
@@ -223,15 +225,15 @@
 		x := p.next()
 		if x == nil {
 			// The watch may have read a request until it stopped.
-			if p.watch.stop(); p.next() == nil {
+			p.watch.stop()
+			if x = p.next(); x == nil {
 				return
 			}
-			continue
 		}
 		p.resumeWatch()
 		<-x.done
 		p.answer(x)
-		p.remove(x)
+		p.endTurn(x)
 	}
 }
 
@@ -287,9 +289,10 @@
 		return true
 	}
 	p.watch.stop()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.waiting) == 0 || len(p.waiting) == 1 && p.waiting[0].exchange == x
+	if x.leader != nil {
+		return p.waiting.Load() == 1 // x itself
+	}
+	return p.waiting.Load() == 0
 }
 
 // peekHead waits for the head of the next request and returns it without taking
