frontend, shards: say what happens without a free goroutine; compare instants

Cause: read as a newcomer, a comment spoke of serving a request in its turn, which is refused; instants were compared by a conversion to int. Change: the comment; cmp.Compare.

--- a/frontend/pipeline.go
+++ b/frontend/pipeline.go
@@ -145,8 +145,8 @@
 	return &aheadExchange{exchange: x, done: make(chan struct{})}
 }
 
-// start begins to serve a request. Without a free goroutine it is served when its
-// turn comes.
+// start begins to serve a request. Without a free goroutine it is refused as not
+// run.
 func (p *pipeline) start(x *aheadExchange) {
 	f := p.frontend
 	f.counts.exchanges.Add(1)
--- a/shards/callgrants.go
+++ b/shards/callgrants.go
@@ -1,6 +1,7 @@
 package shards
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -192,7 +193,7 @@
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return int(g.rows[a].usableUntil.Sub(g.rows[b].usableUntil)) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(g.rows[a].usableUntil, g.rows[b].usableUntil) })
 	return order
 }
 
@@ -275,7 +276,7 @@
 		if !r.leaving || r.call != 0 || !ended || m.reportGrants.mayHold(r.Span) {
 			return false
 		}
-		m.queueRelease(Release{Span: r.Span, Holder: m.holder, Fence: r.Fence, Handover: ""})
+		m.queueRelease(Release{Span: r.Span, Holder: m.holder, Fence: r.Fence})
 		return true
 	})
 }
