frontend: end the reads of a body before the watch is stopped

Cause: the end of a request body starts the watch for the caller. Pipelining stopped the watch at the end of the exchange, but closed the body only after that, so that a body whose end was read in between started a watch that nothing stopped.

Change: the body is closed first, as before pipelining.

The window is some microseconds; the test that showed it is the one that guards it.

--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -76,7 +76,11 @@
 		return
 	}
 	x.pipeline.init(x.frontend, x, cancel)
-	defer x.pipeline.answerWaiting()
+	defer func() {
+		// The end of the body starts the watch, also when the Handler has returned.
+		x.closeBody()
+		x.pipeline.answerWaiting()
+	}()
 	x.attachBody()
 	resp, err := x.frontend.cfg.Handler.Serve(ctx, x.req)
 	if x.pipeline.watch.disconnected.Load() {
@@ -148,12 +152,17 @@
 	x.response.writeResponse(r.Status, int64(len(r.Body)), bytes.NewReader(r.Body))
 }
 
-// finish ends the exchange. Nothing else reads the connection when it returns,
-// so that hertz can read the next request, unless it closed the connection.
-func (x *exchange) finish() {
+// closeBody ends the reads of the body. None is running when it returns.
+func (x *exchange) closeBody() {
 	if x.requestBody != nil {
 		_ = x.requestBody.Close()
 	}
+}
+
+// finish ends the exchange. Nothing else reads the connection when it returns,
+// so that hertz can read the next request, unless it closed the connection.
+func (x *exchange) finish() {
+	x.closeBody()
 	switch {
 	case x.response.truncated:
 		x.conn.reset()
