--- a/sidecar/answers_test.go
+++ b/sidecar/answers_test.go
@@ -49,7 +49,7 @@
 	}()
 	born := time.Now().UnixMilli()
 	report := func(seq int) error {
-		body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"slots":4},"status":{"state":"ready","seq":%d}}`,
+		body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"a","slots":4},"status":{"state":"ready","seq":%d,"cold-remaining":"0ms"}}`,
 			settings.BackendAddress, born, settings.Service, seq)
 		resp, err := http.Post("http://"+settings.ReportAddress+"/instances/i-faulty/heartbeat", "application/json", strings.NewReader(body))
 		if err == nil {
--- a/sidecar/backend/body_test.go
+++ b/sidecar/backend/body_test.go
@@ -40,7 +40,7 @@
 	})
 	must.NoError(t, err)
 	go p.Run(t.Context())
-	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "reports", Slots: slots, Sequence: 1})
+	_, ok := p.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Address: address, Service: "reports", Slots: slots, Sequence: 1})
 	must.True(t, ok)
 	return p
 }
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/apex/log"
@@ -55,8 +56,9 @@
 // arrive out of order change nothing, but are acknowledged so that they are not
 // sent again.
 func (st *state) applyReport(r platform.StatusReport) Ack {
-	if r.Service != st.cfg.Service {
-		st.cfg.Log.WithFields(log.Fields{"instance": r.Instance, "service": r.Service}).Warn("status report ignored: the backend server names another service")
+	if field := st.foreignField(r); field != "" {
+		st.cfg.Log.WithFields(log.Fields{"instance": r.Instance, "field": field, "service": r.Service, "address": r.Address, "born": r.StartedUnixMs}).
+			Warn("status report ignored: it does not describe the backend server beside this node")
 		return Ack{OK: true}
 	}
 	h := st.holderOf(r)
@@ -90,6 +92,31 @@
 	return Ack{OK: true, Current: true}
 }
 
+// foreignField returns the field of a report by which it cannot be from the backend
+// server beside the node, or "" if there is none.
+func (st *state) foreignField(r platform.StatusReport) string {
+	keyController := st.cfg.KeyController()
+	switch {
+	case r.Service != st.cfg.Service:
+		return "service"
+	case !sameAddress(r.Address, st.cfg.Address):
+		return "address"
+	case keyController != nil && !keyController.GrantsByCall() && !r.Sharded:
+		return "holds"
+	}
+	return ""
+}
+
+// sameAddress reports whether two texts of the form host:port name one address.
+func sameAddress(a, b string) bool {
+	x, errA := netip.ParseAddrPort(a)
+	y, errB := netip.ParseAddrPort(b)
+	if errA != nil || errB != nil {
+		return a == b
+	}
+	return x == y
+}
+
 // beginRun replaces the present run by a new one.
 func (st *state) beginRun(h shards.Holder, r platform.StatusReport) {
 	former := st.run.Holder
--- a/sidecar/links_test.go
+++ b/sidecar/links_test.go
@@ -52,7 +52,7 @@
 	})
 	must.NoError(t, err)
 	go proxy.Run(t.Context())
-	_, ok := proxy.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Service: "s", Slots: 1, Sequence: 1})
+	_, ok := proxy.HandleReport(t.Context(), platform.StatusReport{Instance: "i", StartedUnixMs: 1, Address: server.Listener.Addr().String(), Service: "s", Slots: 1, Sequence: 1})
 	must.True(t, ok)
 	r.Node = &Node{self: fleet.Entry{Node: "b", Incarnation: 8}, backend: proxy, log: logger}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
