shards, sidecar/backend: give no keys to a run that told of its leave

A backend server that had deregistered counted as ready for keys again when a report that it had sent before arrived late. Rows assigned to it then would not have been returned while its node lived, and callers of these keys would have been refused.

Cause: HandleReport passed on the state that the report names instead of that of the run, and Member took readiness from every report. A lost sequence check is ruled out: the late report is newer than the last one.

Change: the acknowledgement says whether the run is ready, and Member keeps the last run that left, which also holds when a report is passed on after the call that overtook it. Silence, which a report ends, is told apart.

--- a/shards/member.go
+++ b/shards/member.go
@@ -19,9 +19,11 @@
 
 	holder Holder
 	ready  bool
-	slots  int
-	demand float64
-	loads  []KeyLoad
+	// departed is the last run that told that it leaves.
+	departed Holder
+	slots    int
+	demand   float64
+	loads    []KeyLoad
 
 	term        uint64
 	rowsVersion uint64
@@ -89,15 +91,24 @@
 // report.
 func (m *Member) AddRun(h Holder, slots int) {
 	if m.holder == NoHolder {
-		m.holder, m.ready, m.slots = h, true, slots
+		m.holder, m.ready, m.slots = h, h != m.departed, slots
 	}
 }
 
 // SetLoad sets what the next request tells of the work that callers ask of the run.
 func (m *Member) SetLoad(demand float64, loads []KeyLoad) { m.demand, m.loads = demand, loads }
 
-// MarkLeaving records that the present run accepts no more keys.
-func (m *Member) MarkLeaving() { m.ready = false }
+// MarkSilent records that the present run gets no more keys before its next report.
+func (m *Member) MarkSilent() { m.ready = false }
+
+// MarkLeaving records that a run accepts no more keys. A report of it that arrives
+// later may be older.
+func (m *Member) MarkLeaving(h Holder) {
+	m.departed = h
+	if m.holder == h {
+		m.ready = false
+	}
+}
 
 // GrantByCall selects whether rows are granted by calls. Rows that the run may
 // still hold by the other way are not released before those holds have ended.
@@ -145,7 +156,7 @@
 		m.forgetGrants()
 		m.endedRuns = slices.DeleteFunc(m.endedRuns, func(h Holder) bool { return h == r.Holder })
 	}
-	m.ready, m.slots, m.demand = r.Ready, r.Slots, r.Demand
+	m.ready, m.slots, m.demand = r.Ready && r.Holder != m.departed, r.Slots, r.Demand
 	m.calls.awaitsReport = false
 	if m.byCall {
 		return Grant{}
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -90,6 +90,8 @@
 	OK bool
 	// Current is set for the newest report of the present run.
 	Current bool
+	// Ready reports that the run may get keys.
+	Ready bool
 	// Sharded reports that the run takes part in the key assignment. Grant is
 	// valid only then.
 	Sharded bool
@@ -390,7 +392,7 @@
 	st.cfg.Log.WithFields(log.Fields{"instance": st.run.Holder.Instance, "quiet_ms": silence.Milliseconds()}).
 		Warn("backend server has stopped sending status reports; it gets no new keys")
 	if c := st.cfg.KeyController(); c != nil {
-		c.MarkLeaving(st.run.Holder)
+		c.MarkSilent(st.run.Holder)
 	}
 }
 
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -30,7 +30,7 @@
 	}
 	ack.Sharded = r.Sharded
 	ack.Grant, ok = controller.HandleReport(ctx, shards.BackendReport{
-		Holder: p.holderOf(r), Ready: !r.Leaving, Slots: r.Slots, Holds: r.Held, Freed: r.Freed,
+		Holder: p.holderOf(r), Ready: ack.Ready, Slots: r.Slots, Holds: r.Held, Freed: r.Freed,
 		Demand: p.Demand(),
 	})
 	return ack, ok
@@ -89,7 +89,7 @@
 	} else if st.run.Ended && !st.run.Leaving {
 		st.resumeRun()
 	}
-	return Ack{OK: true, Current: true}
+	return Ack{OK: true, Current: true, Ready: st.run.Ready}
 }
 
 // foreignField returns the field of a report by which it cannot be from the backend
--- a/sidecar/keys/duty.go
+++ b/sidecar/keys/duty.go
@@ -30,8 +30,8 @@
 	reply  ring.Reply[shards.Grant]
 }
 
-// startNotice, endNotice and leaveNotice pass on changes of a run of the
-// backend server.
+// startNotice, endNotice, silenceNotice and leaveNotice pass on changes of a run of
+// the backend server.
 type startNotice struct {
 	holder shards.Holder
 	slots  int
@@ -39,6 +39,8 @@
 
 type endNotice struct{ holder shards.Holder }
 
+type silenceNotice struct{ holder shards.Holder }
+
 type leaveNotice struct{ holder shards.Holder }
 
 // leaseRequest is a member's request to this node as coordinator.
@@ -199,9 +201,15 @@
 	}
 }
 
-func (m leaveNotice) apply(s *state) {
+func (m silenceNotice) apply(s *state) {
 	if s.member != nil && s.member.Holder() == m.holder {
-		s.member.MarkLeaving()
+		s.member.MarkSilent()
+	}
+}
+
+func (m leaveNotice) apply(s *state) {
+	if s.member != nil {
+		s.member.MarkLeaving(m.holder)
 	}
 }
 
--- a/sidecar/keys/keys.go
+++ b/sidecar/keys/keys.go
@@ -240,8 +240,11 @@
 // EndRun records that a run of the backend server has ended.
 func (c *Controller) EndRun(h shards.Holder) { c.push(context.Background(), endNotice{h}) }
 
-// MarkLeaving records that the present run has stopped reporting, or is about to
-// stop without returning its keys.
+// MarkSilent records that a run has stopped reporting. It gets no more keys before
+// its next report.
+func (c *Controller) MarkSilent(h shards.Holder) { c.push(context.Background(), silenceNotice{h}) }
+
+// MarkLeaving records that a run is about to stop. It gets no more keys.
 func (c *Controller) MarkLeaving(h shards.Holder) { c.push(context.Background(), leaveNotice{h}) }
 
 // HandleLeaseRequest answers a member that takes this node for the coordinator,
