sidecar: keep the runs that have left beyond the end of the process

Cause: the leave was kept in the memory of the process, so that the first report after a start began a ready run. The log shows the same name and start twice, and no request between the drain and the late report, which rules out that the other nodes had not heard of the leave.

Change: the node's object in the store holds the last four runs that left. A leave is acknowledged once it is there, or after 400 ms. A process takes no run for ready before it has read the object, or for 1 s. The drain goes on where it was; it began anew before. Other nodes keep a leaving run as leaving whatever a later process of its node announces. A leave of a run that has not reported to the present process is kept by its name. The object stays at a stop while the backend server still listens.

TestRemovedNodeLeavesListing stopped a node whose leaving backend server still ran, and expected that its address goes. The platform stops a node for good after its backend server has ended, and a node may be stopped alone before that. The test now checks both.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -137,6 +137,7 @@
 	firstSeenAt   clock.Instant // first entry or beacon of this incarnation
 	lastBeaconAt  clock.Instant // zero before any beacon
 	lastSequence  uint64        // of the beacons of this incarnation
+	left          runID         // last run that the node announced as leaving
 	configVersion uint64
 	configDigest  []byte
 	tableVersions map[core.Service]uint64
@@ -144,6 +145,25 @@
 	alive         bool
 }
 
+// runID identifies a run of a backend server beside one node.
+type runID struct {
+	instance string
+	born     int64
+}
+
+// keepLeave returns an entry with the state Leaving if an earlier one announced that
+// its run leaves. A process that has just started may not know that.
+func (n *nodeState) keepLeave(e Entry) Entry {
+	run := runID{e.Instance, e.BornUnixMs}
+	switch {
+	case e.State == Leaving:
+		n.left = run
+	case e.State == Ready && e.Instance != "" && run == n.left:
+		e.State = Leaving
+	}
+	return e
+}
+
 // View collects entries and beacons. Only one goroutine may use it.
 type View struct {
 	self    core.NodeID
@@ -179,7 +199,9 @@
 	}
 	n := v.nodes[e.Node]
 	if n == nil {
-		v.nodes[e.Node] = &nodeState{entry: e, load: &Load{}, firstSeenAt: now, alive: true}
+		n := &nodeState{load: &Load{}, firstSeenAt: now, alive: true}
+		n.entry = n.keepLeave(e)
+		v.nodes[e.Node] = n
 		v.markChanged()
 		return true
 	}
@@ -195,7 +217,7 @@
 	if e.Incarnation != n.entry.Incarnation {
 		n.firstSeenAt, n.lastBeaconAt, n.lastSequence, n.load = now, 0, 0, &Load{}
 	}
-	n.entry, n.alive = e, true
+	n.entry, n.alive = n.keepLeave(e), true
 	v.markChanged()
 }
 
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -68,6 +68,16 @@
 	// OnRunChange is called on the goroutine of Proxy.Run after each change of
 	// the run.
 	OnRunChange func(Run)
+	// Departures keeps the runs that have left for the next process, or is nil. If
+	// it is set, no run is ready before SetFormerDepartures was called or
+	// formerTimeout has passed.
+	Departures DepartureLog
+}
+
+// DepartureLog keeps departures beyond the end of the process.
+type DepartureLog interface {
+	// Record records a departure without blocking. The reply comes once it is kept.
+	Record(fleet.Departure) ring.Reply[struct{}]
 }
 
 // Run is the state of the present run of the backend server, as it is announced
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -96,6 +96,9 @@
 	// valid only then.
 	Sharded bool
 	Grant   shards.Grant
+	// kept is set if the call tells of a leave. The reply comes once the leave
+	// outlives the process, which is before it is acknowledged.
+	kept *ring.Reply[struct{}]
 }
 
 // state is the proxy's state. Only the goroutine of Proxy.Run may use it.
@@ -122,6 +125,11 @@
 	arrivals        int
 	demandUpdatedAt clock.Instant
 	keys            keyCounter
+	// departures are the runs that have left, those recorded by former processes
+	// included once formerKnown is set.
+	departures  []fleet.Departure
+	formerKnown bool
+	startedAt   clock.Instant
 }
 
 const (
@@ -159,7 +167,9 @@
 
 // Run runs the proxy's event loop until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
-	st := &state{Proxy: p, ctx: ctx, queue: slotqueue.New(), sends: newSendRecords()}
+	st := &state{Proxy: p, ctx: ctx, queue: slotqueue.New(), sends: newSendRecords(), formerKnown: p.cfg.Departures == nil}
+	st.readClock()
+	st.startedAt = st.now()
 	interval := idleInterval
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -374,6 +384,7 @@
 		st.queue.SetOpen(false)
 		st.refuseAll(st.queue.Flush(), core.CodeDraining, "the backend server has left and takes no more requests")
 	}
+	st.checkFormer()
 	st.checkReports()
 	if c := st.cfg.KeyController(); c != nil && st.run.Ready && !st.runAdded {
 		st.runAdded = true
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"marjoramshore.example/clock"
+	"marjoramshore.example/fleet"
 	"marjoramshore.example/platform"
 	"marjoramshore.example/ring"
 	"marjoramshore.example/shards"
@@ -20,7 +21,7 @@
 	if p.events.Push(ctx, reportCall{r, reply}) != nil {
 		return Ack{}, false
 	}
-	ack, ok := reply.Wait(ctx)
+	ack, ok := p.waitKept(ctx, reply)
 	if !ok || !ack.OK || !ack.Current {
 		return ack, ok
 	}
@@ -47,7 +48,7 @@
 	if p.events.Push(ctx, leaveCall{instance, reply}) != nil {
 		return Ack{}, false
 	}
-	return reply.Wait(ctx)
+	return p.waitKept(ctx, reply)
 }
 
 func (m reportCall) apply(st *state) { m.reply.Send(st.applyReport(m.report)) }
@@ -89,7 +90,11 @@
 	} else if st.run.Ended && !st.run.Leaving {
 		st.resumeRun()
 	}
-	return Ack{OK: true, Current: true, Ready: st.run.Ready}
+	if st.run.Leaving {
+		return Ack{OK: true, Current: true, kept: st.recordDeparture()}
+	}
+	// Before the departures of the former process are known, the run may have left.
+	return Ack{OK: true, Current: st.formerKnown, Ready: st.run.Ready}
 }
 
 // foreignField returns the field of a report by which it cannot be from the backend
@@ -127,12 +132,16 @@
 		c.EndRun(former)
 	}
 	st.forgetLimit()
-	st.run = Run{Holder: h, Ready: true, Slots: r.Slots}
+	st.run = Run{Holder: h, Ready: st.formerKnown, Slots: r.Slots}
 	st.runAdded = false
 	st.sendDeadline.Store(0)
 	st.queue.ResetServiceTimes()
 	st.queue.Resize(r.Slots)
-	st.queue.SetOpen(true)
+	if d, left := fleet.FindDeparture(st.departures, h.Instance, h.Born); left {
+		st.resumeDrain(d)
+		return
+	}
+	st.queue.SetOpen(st.formerKnown)
 	st.notifyRunChange()
 }
 
@@ -148,27 +157,39 @@
 func SendPeriod(drain time.Duration) time.Duration { return max(0, drain-drainMargin) }
 
 // beginDrain begins the drain of the present run. The drain period counts from
-// the acknowledgement of the report or call, which is sent in the same step, or
-// from an answer in which the run says that it leaves.
+// the report or call, which is acknowledged later, or from an answer in which the
+// run says that it leaves.
 func (st *state) beginDrain(reason string) {
 	if st.run.Leaving {
 		return
 	}
+	d := fleet.Departure{Instance: st.run.Holder.Instance, BornUnixMs: st.run.Holder.Born, LeftUnixMs: time.Now().UnixMilli()}
+	st.departures = fleet.AddDepartures(st.departures, d)
+	st.drainFor(SendPeriod(st.cfg.DrainPeriod), reason)
+}
+
+// drainFor begins the drain of the present run, which takes requests for the period
+// given.
+func (st *state) drainFor(period time.Duration, reason string) {
 	st.run.Leaving, st.run.Ready = true, false
-	st.sendDeadline.Store(int64(st.now().Add(SendPeriod(st.cfg.DrainPeriod))))
-	st.cfg.Log.WithFields(log.Fields{"instance": st.run.Holder.Instance, "reason": reason}).Info("backend server is leaving; its drain begins")
+	st.sendDeadline.Store(int64(st.now().Add(period)))
+	st.cfg.Log.WithFields(log.Fields{"instance": st.run.Holder.Instance, "reason": reason, "sends_ms": period.Milliseconds()}).
+		Info("backend server is leaving; its drain begins")
+	if c := st.cfg.KeyController(); c != nil {
+		c.MarkLeaving(st.run.Holder)
+	}
 	st.notifyRunChange()
 }
 
 func (m leaveCall) apply(st *state) {
-	m.reply.Send(Ack{OK: true})
-	if m.instance != st.run.Holder.Instance {
-		return
-	}
-	st.beginDrain("deregistered")
-	if c := st.cfg.KeyController(); c != nil {
-		c.MarkLeaving(st.run.Holder)
+	ack := Ack{OK: true}
+	if m.instance == st.run.Holder.Instance {
+		st.beginDrain("deregistered")
+		ack.kept = st.recordDeparture()
+	} else {
+		ack.kept = st.recordUnknown(m.instance)
 	}
+	m.reply.Send(ack)
 }
 
 // SendDeadline returns the instant from which no requests may be sent to the
--- a/sidecar/backend/statement.go
+++ b/sidecar/backend/statement.go
@@ -26,9 +26,7 @@
 	}
 	if s.Leaving && !st.run.Leaving {
 		st.beginDrain("it says so in its answers")
-		if c := st.cfg.KeyController(); c != nil {
-			c.MarkLeaving(st.run.Holder)
-		}
+		st.recordDeparture()
 	}
 	if s.Malformed {
 		return
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -66,9 +66,3 @@
 		CPUCores: s.CPUCores, LinkMbps: s.LinkMbps, ShortBeacons: true,
 	}, nil
 }
-
-// addressEntry returns the part of an entry that is kept in the store. The other
-// fields change with every run and are sent by beacons.
-func addressEntry(e fleet.Entry) fleet.Entry {
-	return fleet.Entry{Node: e.Node, DataCentre: e.DataCentre, InboundAddress: e.InboundAddress, PeerAddress: e.PeerAddress, Service: e.Service, CPUCores: e.CPUCores, LinkMbps: e.LinkMbps}
-}
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -76,6 +76,7 @@
 	rings := map[string]func() ring.Stats{
 		"configuration":  n.configs.RingStats,
 		"fleet":          n.nodes.RingStats,
+		"announce":       n.announcer.RingStats,
 		"backend_offers": func() ring.Stats { s, _ := n.backend.RingStats(); return s },
 		"backend_events": func() ring.Stats { _, s := n.backend.RingStats(); return s },
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -24,6 +24,7 @@
 	"marjoramshore.example/peers"
 	"marjoramshore.example/platform"
 	"marjoramshore.example/routes"
+	"marjoramshore.example/sidecar/announce"
 	"marjoramshore.example/sidecar/backend"
 	"marjoramshore.example/sidecar/configs"
 	"marjoramshore.example/sidecar/keys"
@@ -73,6 +74,7 @@
 	configs     *configs.Keeper
 	budget      *dispatch.RetryBudget
 	nodes       *nodes.Tracker
+	announcer   *announce.Announcer
 	backend     *backend.Proxy
 	keyCaller   *backend.KeyCaller
 	router      *router.Router
@@ -147,10 +149,15 @@
 
 // openBackend creates the proxy of the backend server and the router.
 func (n *Node) openBackend(s platform.Settings) error {
+	n.announcer = announce.New(announce.Config{
+		Kind: objectKind, Name: nodePrefix + string(s.Node), Entry: n.self, FirstStart: s.FirstStart, Store: n.store, Log: n.log,
+		OnLoad: func(d []fleet.Departure) { n.backend.SetFormerDepartures(d) },
+	})
 	var err error
 	n.backend, err = backend.New(backend.Config{
 		Node: s.Node, Service: s.Service, Address: s.BackendAddress, DrainPeriod: s.Bounds.DrainPeriod, ReportInterval: s.ReportInterval,
 		Clock: n.clock, Log: n.log, KeyController: func() *keys.Controller { return n.keyController(s.Service) }, OnRunChange: n.publishRun,
+		Departures: n.announcer,
 	})
 	if err != nil {
 		return err
@@ -227,6 +234,7 @@
 	n.runLoop(n.nodes.Run)
 	n.runLoop(n.nodes.Receive)
 	n.runLoop(n.backend.Run)
+	n.runLoop(n.announcer.Run)
 	n.runLoop(n.configs.Run)
 	n.runLoop(func(context.Context) {
 		if err := n.peerServer.Serve(ln); err != http.ErrServerClosed {
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -1,22 +1,18 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"maps"
-	"net"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/apex/log"
 
 	"marjoramshore.example/core"
-	"marjoramshore.example/fleet"
 	"marjoramshore.example/platform"
 	"marjoramshore.example/shards"
 	"marjoramshore.example/shards/record"
+	"marjoramshore.example/sidecar/announce"
 	"marjoramshore.example/sidecar/configs"
 )
 
@@ -58,43 +54,6 @@
 	return o.Revision, err
 }
 
-// announceAddress writes the node's address to the store, unless it is there
-// already. At the first start of the whole system it seldom is, so that it is
-// created without a look.
-func (n *Node) announceAddress(ctx context.Context) error {
-	spec, err := json.Marshal(addressEntry(n.self))
-	if err != nil {
-		return &Error{"encode the node's address", err}
-	}
-	name := nodePrefix + string(n.self.Node)
-	if n.cfg.Settings.FirstStart {
-		if _, err := n.store.Create(ctx, objectKind, name, spec); platform.FaultOf(err) != platform.FaultConflict {
-			return err
-		}
-	}
-	o, err := n.store.Get(ctx, objectKind, name)
-	switch platform.FaultOf(err) {
-	case 0:
-		if bytes.Equal(compactJSON(o.Spec), spec) {
-			return nil
-		}
-		_, err = n.store.Replace(ctx, objectKind, name, 0, spec)
-	case platform.FaultNotFound:
-		_, err = n.store.Create(ctx, objectKind, name, spec)
-	}
-	return err
-}
-
-// compactJSON returns a document without insignificant white space, or nil if it
-// is invalid.
-func compactJSON(spec []byte) []byte {
-	var b bytes.Buffer
-	if json.Compact(&b, spec) != nil {
-		return nil // equal to no valid document
-	}
-	return b.Bytes()
-}
-
 // configHandler offers the operators' configuration to the keeper as it is read
 // from the store. It implements watch.Handler.
 type configHandler struct{ node *Node }
@@ -113,29 +72,28 @@
 }
 
 const (
-	// syncRetryDelay is the delay before another attempt to write the node's
-	// address or to list the objects for the first time.
+	// syncRetryDelay is the delay before another attempt to list the objects for
+	// the first time.
 	syncRetryDelay = 300 * time.Millisecond
 	// listInterval is the time between later listings, which may be stale.
 	// Beacons report changes at once; listings serve nodes that miss beacons.
 	listInterval = 5 * time.Second
 )
 
-// syncObjects writes the node's address to the store and then lists the nodes'
-// objects until ctx ends. A node that starts later finds the address in its first
-// listing and sends a beacon to it.
+// syncObjects lists the nodes' objects until ctx ends, once this node's address is
+// in the store. A node that starts later finds the address in its first listing and
+// sends a beacon to it.
 func (n *Node) syncObjects(ctx context.Context) {
-	announced, listed := false, false
+	select {
+	case <-ctx.Done():
+		return
+	case <-n.announcer.Announced():
+	}
+	listed := false
 	known := make(map[core.NodeID]bool)
 	for {
 		wait := syncRetryDelay
 		switch {
-		case !announced:
-			err := n.announceAddress(ctx)
-			if announced = err == nil; announced {
-				continue
-			}
-			n.log.WithError(err).Warn("writing this node's address to the platform's store failed; retrying")
 		case !listed:
 			l, err := n.store.List(ctx, objectKind)
 			if listed = err == nil; listed {
@@ -191,7 +149,7 @@
 		n.log.WithField("name", o.Name).Warn("object in the platform's store ignored: its name has no known prefix")
 		return "", false
 	}
-	e, err := decodeAddress(core.NodeID(id), o.Spec)
+	e, err := announce.DecodeAddress(core.NodeID(id), o.Spec)
 	if err != nil {
 		n.log.WithError(err).WithField("name", o.Name).Warn("address of a node in the platform's store ignored")
 		return core.NodeID(id), true
@@ -200,37 +158,6 @@
 	return core.NodeID(id), true
 }
 
-// maxCapacity bounds the capacities that an entry states: cores, and Mbit/s.
-const maxCapacity = 1e6
-
-// decodeAddress decodes the address of a node. Another writer may have left a
-// document that names no node to use.
-func decodeAddress(id core.NodeID, spec []byte) (fleet.Entry, error) {
-	var e fleet.Entry
-	if err := json.Unmarshal(spec, &e); err != nil {
-		return e, &Error{"decode the document", err}
-	}
-	for field, valid := range map[string]bool{
-		"node": e.Node == id && id != "", "inbound": isAddress(e.InboundAddress), "peer": isAddress(e.PeerAddress),
-		"power": e.CPUCores >= 0 && e.CPUCores <= maxCapacity, "link": e.LinkMbps >= 0 && e.LinkMbps <= maxCapacity,
-	} {
-		if !valid {
-			return e, &Error{"check the document", &platform.InvalidFieldError{Field: field}}
-		}
-	}
-	return addressEntry(e), nil
-}
-
-// isAddress reports whether a text is a host and a port that can be connected to.
-func isAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	if err != nil || host == "" {
-		return false
-	}
-	number, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && number > 0
-}
-
 // applyTable passes a key assignment on to the key controller of its service, or
 // keeps it until that is started.
 func (n *Node) applyTable(service core.Service, o platform.Object) {
--- a/sidecar/oddreport_test.go
+++ b/sidecar/oddreport_test.go
@@ -25,7 +25,14 @@
 func (f *testFleet) postReport(i int, instance string, report map[string]any) int {
 	body, err := json.Marshal(report)
 	must.NoError(f.t, err)
-	resp, err := http.Post("http://"+f.settings[i].ReportAddress+"/instances/"+instance+"/heartbeat", "application/json", strings.NewReader(string(body)))
+	return f.postControl(i, instance, "heartbeat", string(body))
+}
+
+// postControl makes a call of a backend server to a node, on a connection of its
+// own, and returns the status of the answer.
+func (f *testFleet) postControl(i int, instance, action, body string) int {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Post("http://"+f.settings[i].ReportAddress+"/instances/"+instance+"/"+action, "application/json", strings.NewReader(body))
 	must.NoError(f.t, err)
 	must.NoError(f.t, resp.Body.Close())
 	return resp.StatusCode
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -413,7 +413,12 @@
 	f.backends[2].Leave()
 	time.Sleep(2 * f.settings[2].ReportInterval)
 	f.nodes[2].Stop()
+	must.True(t, f.store.Has("marjoramshore", "node.node-2"), must.Sprint("the node was stopped alone: its backend server still listens"))
+	f.nodes[2] = f.startNode(f.settings[2])
+	time.Sleep(2 * f.settings[2].ReportInterval)
+	// A VM is removed after its backend server has ended.
 	f.backends[2].Crash()
+	f.nodes[2].Stop()
 	f.nodes, f.backends = f.nodes[:2], f.backends[:2]
 	f.waitFor("the address of a removed node is still in the store", 10*time.Second, func() bool { return !f.store.Has("marjoramshore", "node.node-2") })
 	must.True(t, f.store.Has("marjoramshore", "node.node-0"))
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -128,20 +131,32 @@
 	}
 }
 
-// removeAddressTimeout bounds the call to the store that removes the node's
-// address.
+// removeAddressTimeout bounds the time to remove the node's address from the store,
+// and before that to find out whether the backend server has ended.
 const removeAddressTimeout = 200 * time.Millisecond
 
-// removeAddress removes the node's address from the store if its backend server
-// is not ready either, because then the VM is about to be removed.
+// removeAddress removes the node's address from the store if its backend server has
+// ended, because then the VM is about to be removed. While a leaving one still
+// serves, the next process must find there that it has left.
 func (n *Node) removeAddress() {
 	ctx, cancel := context.WithTimeout(context.Background(), removeAddressTimeout)
 	defer cancel()
 	self := n.nodes.Snapshot().Nodes[n.self.Node]
-	if self == nil || self.State == fleet.Ready {
+	if self == nil || self.State == fleet.Ready || self.State != fleet.Ended && n.backendListens(ctx) {
 		return
 	}
-	if err := n.store.Delete(ctx, objectKind, nodePrefix+string(n.self.Node)); err != nil {
-		n.log.WithError(err).Warn("removing this node's address from the platform's store failed")
+	if _, ok := n.announcer.Remove().Wait(ctx); !ok {
+		n.log.Warn("removing this node's address from the platform's store took too long")
 	}
 }
+
+// backendListens reports whether the backend server still accepts connections.
+func (n *Node) backendListens(ctx context.Context) bool {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", n.cfg.Settings.BackendAddress)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return true
+}
