node: bound the head of an answer to a probe

Other operators report a machine that ran out of memory, because it kept the bytes that a faulty backend server sent without end. Here the prober of node kept a head of up to 10 MB, and the heap grew by 165 MB when its fields were short.

Cause: the client had a limit for bodies and a time-out, and the default of net/http for heads. Every other place that reads from a backend server was looked at and measured: the gate, the answers that are kept whole and the calls about keys stay below 52 MB with 15 slots and 40 callers, so that nothing is changed there.

Change: 16 KiB for the head, interim answers included.

--- a/node/backend.go
+++ b/node/backend.go
@@ -23,6 +23,9 @@
 	// maxAnnouncementBytes bounds the body of an announcement and of a probe's
 	// answer.
 	maxAnnouncementBytes = 64 << 10
+	// maxProbeHeadBytes bounds the head of an answer to the prober, interim answers
+	// included. A faulty backend server may send one without end.
+	maxProbeHeadBytes = 16 << 10
 	// probeTimeout bounds one request of the prober. A healthy backend server
 	// answers in 6 ms.
 	probeTimeout = 500 * time.Millisecond
@@ -39,10 +42,14 @@
 	deathCount uint64
 }
 
+func newProber(n *Node) *prober {
+	return &prober{node: n, client: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConns: 1, MaxResponseHeaderBytes: maxProbeHeadBytes}}}
+}
+
 // monitorBackend runs the prober at each ProbeInterval, and without delay after
 // requestProbe.
 func (n *Node) monitorBackend(ctx context.Context) {
-	p := &prober{node: n, client: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConns: 1}}}
+	p := newProber(n)
 	defer p.client.CloseIdleConnections()
 	ticker := time.NewTicker(n.cfg.ProbeInterval)
 	defer ticker.Stop()
--- a/sidecar/answers_test.go
+++ b/sidecar/answers_test.go
@@ -27,8 +27,9 @@
 
 func (b *faultyBackend) set(s script) { b.script.Store(&s) }
 
-// replaceLastBackend replaces the backend server of the last node by a faulty one.
-func (f *testFleet) replaceLastBackend() *faultyBackend {
+// replaceLastBackend replaces the backend server of the last node by a faulty one
+// with that many slots.
+func (f *testFleet) replaceLastBackend(slots int) *faultyBackend {
 	node := len(f.backends) - 1
 	f.backends[node].Crash()
 	f.backends = f.backends[:node]
@@ -49,8 +50,8 @@
 	}()
 	born := time.Now().UnixMilli()
 	report := func(seq int) error {
-		body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"a","slots":4},"status":{"state":"ready","seq":%d,"cold-remaining":"0ms"}}`,
-			settings.BackendAddress, born, settings.Service, seq)
+		body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"a","slots":%d},"status":{"state":"ready","seq":%d,"cold-remaining":"0ms"}}`,
+			settings.BackendAddress, born, settings.Service, slots, seq)
 		resp, err := http.Post("http://"+settings.ReportAddress+"/instances/i-faulty/heartbeat", "application/json", strings.NewReader(body))
 		if err == nil {
 			_ = resp.Body.Close()
@@ -121,7 +122,7 @@
 // backend server and through another one.
 func TestCallersGetNoRepeatedRefusal(t *testing.T) {
 	f := startFleet(t, "prices", "reports")
-	b := f.replaceLastBackend()
+	b := f.replaceLastBackend(4)
 	for node := range f.nodes {
 		for i, stray := range []string{refusal(""), refusal("earlier"), strings.Replace(refusal(""), "503", "421", 1)} {
 			sendOne := func(kind string) (int, string) {
@@ -154,7 +155,7 @@
 // where a repetition of the refusal passes for the answer to it.
 func TestSecondAttemptIsNotAnsweredByRepeatedRefusal(t *testing.T) {
 	f := startFleet(t, "prices", "reports")
-	b := f.replaceLastBackend()
+	b := f.replaceLastBackend(4)
 	for node := range f.nodes {
 		var ran atomic.Int64
 		var refused atomic.Bool
@@ -186,7 +187,7 @@
 // or as a refusal.
 func TestCallersGetNoAnswerThatBrokeOff(t *testing.T) {
 	f := startFleet(t, "prices", "reports")
-	b := f.replaceLastBackend()
+	b := f.replaceLastBackend(4)
 	for node := range f.nodes {
 		for kind, whole := range map[string]string{
 			"length": signedAnswer("%", "hello, world"), "chunked": chunkedAnswer("%", "hello, world"), "refusal": refusal("%"),
@@ -228,7 +229,7 @@
 // bytes without end cannot become an answer, and against a slot that stays in use.
 func TestCallersDoNotWaitForEndlessBytes(t *testing.T) {
 	f := startFleet(t, "prices", "reports")
-	b := f.replaceLastBackend()
+	b := f.replaceLastBackend(4)
 	part := strings.Repeat("x", 1000)
 	unsigned := "HTTP/1.1 200 OK\r\nX-Marjoramshore-Attempt-Id: %\r\n"
 	refused := strings.TrimSuffix(refusal("%"), "Content-Length: 0\r\n\r\n")
@@ -273,7 +274,7 @@
 // request or reaches the caller as whole. Until then it may be a sound answer.
 func TestEndlessBodyIsCutAtTheDeadline(t *testing.T) {
 	f := startFleet(t, "prices", "reports")
-	b := f.replaceLastBackend()
+	b := f.replaceLastBackend(4)
 	b.set(func(c net.Conn, id string, _ int) bool {
 		_, err := io.WriteString(c, strings.TrimSuffix(chunkedAnswer(id, ""), "0\r\n\r\n0\r\n\r\n"))
 		for err == nil {
