shards: return rows of a leaving run that a former process granted

Callers of some keys would have been refused until a VM is removed: the process that granted the rows of a leaving run ended, and the run sent one more report that named them, and then none.

Cause: rows that a process has not granted itself were returned by reports only, and the member kept its lease for the run. Found by reading on the path of the fault before; a lost lease is ruled out, since it is renewed for any run that the member names.

Change: a member takes the longest hold, from when it first knows of the run, as the end of what a former process may have granted, and then returns the rows of a run that is not ready.

Result: TestRowsOfALeavingRunComeBackAfterARestart failed before and passes; the simulation of shards passes.

--- a/shards/member.go
+++ b/shards/member.go
@@ -19,6 +19,9 @@
 
 	holder Holder
 	ready  bool
+	// inheritedEnd is when the holds that a former process of the node may have
+	// granted to the present run have ended, or 0 before the first check.
+	inheritedEnd clock.Instant
 	// departed is the last run that told that it leaves.
 	departed Holder
 	slots    int
@@ -81,7 +84,7 @@
 		m.endedRuns = m.endedRuns[1:]
 	}
 	if m.holder == h {
-		m.holder, m.ready = NoHolder, false
+		m.holder, m.ready, m.inheritedEnd = NoHolder, false, 0
 		m.forgetGrants()
 	}
 }
@@ -152,7 +155,7 @@
 func (m *Member) HandleReport(now clock.Instant, r BackendReport) Grant {
 	if r.Holder != m.holder {
 		m.EndRun(m.holder)
-		m.holder = r.Holder
+		m.holder, m.inheritedEnd = r.Holder, 0
 		m.forgetGrants()
 		m.endedRuns = slices.DeleteFunc(m.endedRuns, func(h Holder) bool { return h == r.Holder })
 	}
@@ -181,9 +184,8 @@
 // the node granted them. holds are the spans that the run holds or still works on,
 // freed those that it has just released.
 func (m *Member) releaseUngranted(holds, freed []Row) {
-	for _, r := range m.recalled {
-		alreadyReleased := slices.ContainsFunc(m.releases, func(release Release) bool { return release.Overlaps(r.Span) && release.Fence == r.Fence })
-		if r.Holder != m.holder || m.mayHold(r.Span) || alreadyReleased || overlapsAnyRow(r.Span, holds) {
+	for _, r := range m.ungranted() {
+		if overlapsAnyRow(r.Span, holds) {
 			continue
 		}
 		release := Release{Span: r.Span, Holder: r.Holder, Fence: r.Fence}
@@ -194,10 +196,47 @@
 	}
 }
 
+// ungranted returns the recalled rows of the present run that this process has not
+// granted and not released.
+func (m *Member) ungranted() []Row {
+	var out []Row
+	for _, r := range m.recalled {
+		released := slices.ContainsFunc(m.releases, func(release Release) bool { return release.Overlaps(r.Span) && release.Fence == r.Fence })
+		if r.Holder == m.holder && !released && !m.mayHold(r.Span) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // ReleaseSilentRun releases the rows of a leaving run that stopped reporting,
-// once all its holds have ended. It reports whether it released any.
+// once all its holds have ended, those granted by a former process of the node
+// included. It reports whether it released any.
 func (m *Member) ReleaseSilentRun(now clock.Instant) bool {
-	if m.holder == NoHolder || m.ready || m.byCall || len(m.granted) == 0 {
+	if m.holder == NoHolder || m.byCall {
+		return false
+	}
+	if m.inheritedEnd == 0 {
+		m.inheritedEnd = now.Add(time.Duration(float64(m.maxHold) * (1 + maxClockLag)))
+	}
+	if m.ready {
+		return false
+	}
+	released := m.releaseGranted(now)
+	if now.Before(m.inheritedEnd) {
+		return released
+	}
+	for _, r := range m.ungranted() {
+		m.queueRelease(Release{Span: r.Span, Holder: r.Holder, Fence: r.Fence})
+		released = true
+	}
+	return released
+}
+
+// releaseGranted releases the rows that this process has granted, once all their
+// holds have ended. It reports whether it released any.
+func (m *Member) releaseGranted(now clock.Instant) bool {
+	if len(m.granted) == 0 {
 		return false
 	}
 	for _, g := range m.granted {
