sidecar/backend: wait 2 s for the departures of former processes

A call to a slow store takes up to 0.9 s, so that two of them did not fit into the second that a process waited before it took a run for ready without knowing whether it has left.

--- a/sidecar/backend/departures.go
+++ b/sidecar/backend/departures.go
@@ -13,10 +13,10 @@
 
 const (
 	// formerTimeout is how long a process waits after its start for the departures
-	// that the former one recorded. While the store is down, a backend server that
-	// has not left takes requests from then on; other nodes still know of the
-	// departures that they heard of.
-	formerTimeout = time.Second
+	// that the former one recorded. A slow store takes 0.9 s for a call. While it is
+	// down, a backend server takes requests from then on; other nodes still know of
+	// the departures that they heard of.
+	formerTimeout = 2 * time.Second
 	// keepTimeout bounds how long the acknowledgement of a leave waits for its
 	// record. The backend server waits for a second.
 	keepTimeout = 400 * time.Millisecond
