sidecar/backend: free the slot of a request that was canceled first

Cause: a request and its cancellation take two rings into the event loop, which takes from either at random. A cancellation that came first found nothing, and the request then got a slot that nobody freed. A request that is admitted as its caller leaves is ruled out: its cancellation ends it.

--- a/sidecar/backend/departures_test.go
+++ b/sidecar/backend/departures_test.go
@@ -52,16 +52,24 @@
 
 const testDrain = time.Second
 
-func startProcess(t *testing.T, kept *keptDepartures) *restartableProxy {
+// startProcess returns the proxy of a process, which keeps departures if kept is not
+// nil, and runs it if run is set.
+func startProcess(t *testing.T, kept *keptDepartures, run bool) *restartableProxy {
 	p := &restartableProxy{}
 	p.run.Store(&Run{})
-	proxy, err := New(Config{
+	cfg := Config{
 		Node: "n", Service: "reports", Address: "127.0.0.1:1", ReportInterval: time.Minute, DrainPeriod: testDrain, Clock: clock.NewReal(), Log: &log.Logger{Handler: discard.Default},
-		KeyController: func() *keys.Controller { return nil }, OnRunChange: func(r Run) { p.run.Store(&r) }, Departures: kept,
-	})
+		KeyController: func() *keys.Controller { return nil }, OnRunChange: func(r Run) { p.run.Store(&r) },
+	}
+	if kept != nil {
+		cfg.Departures = kept
+	}
+	proxy, err := New(cfg)
 	must.NoError(t, err)
 	p.Proxy = proxy
-	go proxy.Run(t.Context())
+	if run {
+		go proxy.Run(t.Context())
+	}
 	return p
 }
 
@@ -107,7 +115,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			kept := &keptDepartures{}
-			first := startProcess(t, kept)
+			first := startProcess(t, kept, true)
 			first.SetFormerDepartures(nil)
 			if name != "deregistered before any report" {
 				must.True(t, first.report(t, "i", born, 1, false).Ready)
@@ -115,7 +123,7 @@
 			leave(first)
 			must.SliceLen(t, 1, kept.all(), must.Sprint("acknowledged before the departure is kept"))
 			for _, knownFirst := range []bool{true, false} {
-				next := startProcess(t, kept)
+				next := startProcess(t, kept, true)
 				if knownFirst {
 					next.SetFormerDepartures(kept.all())
 				}
@@ -150,7 +158,7 @@
 		"time of day went back": {-time.Minute, -time.Hour, 0},
 	} {
 		for _, leaving := range []bool{true, false} {
-			p := startProcess(t, &keptDepartures{})
+			p := startProcess(t, &keptDepartures{}, true)
 			p.SetFormerDepartures([]fleet.Departure{{Instance: "i", BornUnixMs: born, LeftUnixMs: time.Now().Add(-c.leftAgo).UnixMilli()}})
 			p.report(t, "i", born, 9, leaving)
 			must.Between(t, c.least, p.SendDeadline().Sub(p.cfg.Clock.Now()), c.most, must.Sprint(name))
@@ -162,7 +170,7 @@
 // Guards against a backend server that gets no requests because its node started
 // while the store was down, and against one that does although it has left.
 func TestRunIsUsedWhileDeparturesCannotBeRead(t *testing.T) {
-	p := startProcess(t, &keptDepartures{})
+	p := startProcess(t, &keptDepartures{}, true)
 	must.False(t, p.report(t, "i", 5, 1, false).Current, must.Sprint("no keys before it is known whether the run has left"))
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return p.run.Load().Ready }), wait.Timeout(2*formerTimeout), wait.Gap(10*time.Millisecond)))
 	must.Eq(t, 0, p.offer(t))
@@ -176,7 +184,7 @@
 func TestLeaveIsAcknowledgedWhileTheStoreIsDown(t *testing.T) {
 	kept := &keptDepartures{}
 	kept.fails.Store(true)
-	p := startProcess(t, kept)
+	p := startProcess(t, kept, true)
 	p.SetFormerDepartures(nil)
 	p.report(t, "i", 5, 1, false)
 	began := time.Now()
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -53,6 +53,9 @@
 	statement *platform.Statement
 	// key is the key of the request, or -1.
 	key int
+	// canceled is set by the goroutine of Proxy.Run once the request no longer waits.
+	// Its cancellation may come first, since it takes another ring.
+	canceled bool
 }
 
 // event is an input of the proxy's event loop other than a slotRequest.
@@ -306,6 +309,9 @@
 
 // offerRequest passes a slot request to the queue.
 func (st *state) offerRequest(request *slotRequest) {
+	if request.canceled {
+		return
+	}
 	st.arrivals++
 	if request.key >= 0 {
 		st.keys.count(request.key)
@@ -351,7 +357,10 @@
 	}
 }
 
-func (m cancellation) apply(st *state) { st.admitAll(st.queue.Cancel(st.now(), &m.request.ticket)) }
+func (m cancellation) apply(st *state) {
+	m.request.canceled = true
+	st.admitAll(st.queue.Cancel(st.now(), &m.request.ticket))
+}
 
 func (waitsEnd) apply(st *state) {
 	st.queue.SetOpen(false)
