--- a/sidecar/announce/announce.go
+++ b/sidecar/announce/announce.go
@@ -100,11 +100,12 @@
 	*Announcer
 	// loaded is set once OnLoad was called.
 	loaded bool
-	// written is set while the object in the store is known to be up to date at
-	// revision, and announced once it was for the first time.
+	// written is set while the object in the store is known to be up to date.
+	// isAnnounced is set once it was for the first time.
 	written, isAnnounced bool
-	revision             uint64
-	departures           []fleet.Departure
+	// revision is that of the object, or 0 if it is to be read before it is written.
+	revision   uint64
+	departures []fleet.Departure
 	// waiting are the last requests to answer when the object is up to date.
 	waiting []request
 	removed bool
