sidecar/backend: ask for two reports where departures cannot be read

While the store was down, a process took a run for ready 2 s after its start, so that one late report of a run that had left still brought it back for the callers of that node; other nodes keep it as leaving. The node that acknowledged a leave is bound by it while the store is down, too.

A sound backend server sends more than two reports in that time, so that it waits no longer than before. TestRunIsUsedWhileDeparturesCannotBeRead failed before in the new step ("a single report may be late").

--- a/sidecar/backend/departures.go
+++ b/sidecar/backend/departures.go
@@ -14,9 +14,12 @@
 const (
 	// formerTimeout is how long a process waits after its start for the departures
 	// that the former one recorded. A slow store takes 0.9 s for a call. While it is
-	// down, a backend server takes requests from then on; other nodes still know of
-	// the departures that they heard of.
+	// down, a backend server takes requests from then on if it has sent
+	// minRunReports; other nodes still know of the departures that they heard of.
 	formerTimeout = 2 * time.Second
+	// minRunReports is the number of reports that show without the store that a run
+	// has not left. A single one may be late.
+	minRunReports = 2
 	// keepTimeout bounds how long the acknowledgement of a leave waits for its
 	// record. The backend server waits for a second.
 	keepTimeout = 400 * time.Millisecond
@@ -45,7 +48,7 @@
 // checkFormer lets the present run take requests if the departures of former
 // processes cannot be read.
 func (st *state) checkFormer() {
-	if !st.formerKnown && st.now().Sub(st.startedAt) >= formerTimeout {
+	if !st.formerKnown && st.runReports >= minRunReports && st.now().Sub(st.startedAt) >= formerTimeout {
 		st.cfg.Log.WithField("instance", st.run.Holder.Instance).Warn("departures recorded by former processes of this node cannot be read; the backend server counts as ready")
 		st.admitRun()
 	}
--- a/sidecar/backend/departures_test.go
+++ b/sidecar/backend/departures_test.go
@@ -172,11 +172,15 @@
 func TestRunIsUsedWhileDeparturesCannotBeRead(t *testing.T) {
 	p := startProcess(t, &keptDepartures{}, true)
 	must.False(t, p.report(t, "i", 5, 1, false).Current, must.Sprint("no keys before it is known whether the run has left"))
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return p.run.Load().Ready }), wait.Timeout(2*formerTimeout), wait.Gap(10*time.Millisecond)))
+	time.Sleep(formerTimeout + 2*idleInterval)
+	must.False(t, p.run.Load().Ready, must.Sprint("a single report may be late"))
+	must.NotEq(t, 0, p.offer(t))
+	p.report(t, "i", 5, 2, false)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return p.run.Load().Ready }), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
 	must.Eq(t, 0, p.offer(t))
-	must.True(t, p.report(t, "i", 5, 2, false).Ready)
+	must.True(t, p.report(t, "i", 5, 3, false).Ready)
 	p.SetFormerDepartures([]fleet.Departure{{Instance: "i", BornUnixMs: 5, LeftUnixMs: 1}})
-	must.False(t, p.report(t, "i", 5, 3, false).Ready)
+	must.False(t, p.report(t, "i", 5, 4, false).Ready)
 	must.True(t, p.run.Load().Leaving)
 }
 
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -133,6 +133,8 @@
 	departures  []fleet.Departure
 	formerKnown bool
 	startedAt   clock.Instant
+	// runReports counts the reports of the present run.
+	runReports int
 }
 
 const (
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -75,6 +75,7 @@
 		st.beginRun(h, r)
 	}
 	st.lastSequence, st.lastReport = r.Sequence, st.now()
+	st.runReports++
 	if st.silent {
 		st.silent = false
 		st.cfg.Log.WithField("instance", r.Instance).Info("backend server sends status reports again")
@@ -133,7 +134,7 @@
 	}
 	st.forgetLimit()
 	st.run = Run{Holder: h, Ready: st.formerKnown, Slots: r.Slots}
-	st.runAdded = false
+	st.runAdded, st.runReports = false, 0
 	st.sendDeadline.Store(0)
 	st.queue.ResetServiceTimes()
 	st.queue.Resize(r.Slots)
