soak: count the keys without a holder as of the query

The nodes served requests for keys in that second and lost no lease.

Cause: the checker takes the query after the events that are queued, and compared the holds that it knew of with the time at which it took it. Once it was behind by more than a hold, all of them had ended. A loss of all leases is ruled out by the logs of the nodes.

Change: the time is that of the query, up to which all holds are known.

--- a/soak/run.go
+++ b/soak/run.go
@@ -142,6 +142,9 @@
 	o.run.record(HeldRanges{o.run.elapsed(), until.Sub(o.run.started), server, slices.Clone(rows)})
 }
 
+// Ended implements keyed.Observer.
+func (o observer) Ended(server string) { o.run.record(ServerExit{server}) }
+
 // LeaveAcknowledged implements keyed.Observer.
 func (o observer) LeaveAcknowledged(server string) { o.run.record(LeaveAck{o.run.elapsed(), server}) }
 
@@ -274,8 +277,12 @@
 	q.done.Wait(context.Background())
 }
 
+// unheldKeys returns the number of keys without a holder at the time of the call. The
+// checker may be behind, so that the holds that it knows of when it takes the query
+// have ended by then.
 func (r *run) unheldKeys() (n int) {
-	r.queryChecker(func(c *Checker) { n = c.UnheldKeys(r.elapsed()) })
+	at := r.elapsed()
+	r.queryChecker(func(c *Checker) { n = c.UnheldKeys(at) })
 	return n
 }
 
