soak, standin/keyed: tell of the end of a server when it has closed

Cause: the end was recorded once all goroutines of the server had ended, one of which waited for the answer to a report. The log of its node shows that connections were refused at 11.525 s, the plan came at 11.567 s, and the next server listened at that address from 11.767 s on. The product gave the keys of a run away that had ended, as it may.

Change: the stand-in tells of its end when its listener and connections are closed, and of no grant after that. The check is as strict as before for a server that listens.

--- a/soak/vm.go
+++ b/soak/vm.go
@@ -155,9 +155,7 @@
 func (v *vm) restartServer() error {
 	v.serverTurn <- struct{}{}
 	defer func() { <-v.serverTurn }()
-	name := fmt.Sprintf("%s-%d", v.name, v.serverStarts)
 	v.server.Load().Crash()
-	v.run.record(ServerExit{name})
 	return v.startServer()
 }
 
--- a/standin/keyed/calls.go
+++ b/standin/keyed/calls.go
@@ -171,7 +171,7 @@
 // of a hold stands for all: a node renews its grants under one lease, so that none
 // of the keys has another holder before it.
 func (s *Server) observeCalledKeys() {
-	if s.cfg.Observer == nil {
+	if s.cfg.Observer == nil || s.ended {
 		return
 	}
 	var held []KeyRange
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -56,6 +56,9 @@
 	// LeaveAcknowledged is called when the node has acknowledged that the
 	// server is leaving.
 	LeaveAcknowledged(instance string)
+	// Ended is called once the server has closed its listener and connections. It
+	// holds no keys any more, and KeysGranted is not called after it.
+	Ended(instance string)
 }
 
 // Request describes a request as the server received it.
@@ -137,6 +140,7 @@
 	released  [][]any
 	called    calledKeys
 	leaving   bool
+	ended     bool // the observer was told that the server has ended
 	runCounts map[string]int
 
 	stop    chan struct{}
@@ -172,8 +176,16 @@
 // Crash closes the listener and all connections without telling the node. Later
 // calls do nothing.
 func (s *Server) Crash() {
-	s.crashed.Do(func() { close(s.stop) })
-	_ = s.http.Close()
+	s.crashed.Do(func() {
+		close(s.stop)
+		_ = s.http.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ended = true
+		if s.cfg.Observer != nil {
+			s.cfg.Observer.Ended(s.cfg.Instance)
+		}
+	})
 	s.stopped.Wait()
 }
 
@@ -492,7 +504,7 @@
 		}
 	}
 	s.held, s.heldUntil = rows, sentAt.Add(holdDuration)
-	if o := s.cfg.Observer; o != nil {
+	if o := s.cfg.Observer; o != nil && !s.ended {
 		o.KeysGranted(s.cfg.Instance, rows, s.heldUntil)
 	}
 	return released
