review: case 6 also as a script

Tried: callers that leave early, and a backend server that resets further connections while its queue is long.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 7 to 10. Needs Go, and no network.
+# Builds the stand-ins of the cases 6 to 10. Needs Go, and no network.
 set -euo pipefail
 cd "$(dirname "$0")/harness2"
 GOWORK=off go build -o ../../target/review-harness-2 .
--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -41,9 +41,6 @@
 	seq           int64
 	state         string
 	slots         int
-	sharded       bool
-	holds         [][4]any
-	holdsUntil    time.Time
 	nodeControl   string
 	arrived       []*request
 	// handle answers a request. It returns false if the connection is to be closed.
@@ -51,6 +48,13 @@
 	// down is set between a crash and the next run.
 	down bool
 	open map[net.Conn]struct{}
+	// keys is nil for a service that is not divided by key.
+	keys *keyHolder
+	// outstanding counts the requests that run or wait, and full is set while further
+	// connections are reset.
+	outstanding int
+	full        bool
+	slotTokens  chan struct{}
 }
 
 func newBackend(service, zone, instance string) (*backend, error) {
@@ -206,7 +210,13 @@
 			if !down {
 				_, _ = b.report()
 			}
-			time.Sleep(870 * time.Millisecond)
+			b.mu.Lock()
+			pause := 870 * time.Millisecond
+			if b.keys != nil && len(b.keys.leftOut) > 0 {
+				pause = 100 * time.Millisecond
+			}
+			b.mu.Unlock()
+			time.Sleep(pause)
 		}
 	}()
 }
@@ -221,14 +231,8 @@
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": b.slots},
 		"status": map[string]any{"state": b.state, "seq": b.seq, "cold-remaining": "0ms"},
 	}
-	if b.sharded {
-		holds := [][]any{}
-		if time.Now().Before(b.holdsUntil) {
-			for _, h := range b.holds {
-				holds = append(holds, []any{h[0], h[1], h[2]})
-			}
-		}
-		m["holds"], m["freed"] = holds, [][]any{}
+	if b.keys != nil {
+		m["holds"], m["freed"] = b.keys.report()
 	}
 	raw, _ := json.Marshal(m)
 	return raw
@@ -245,15 +249,23 @@
 	}
 	defer resp.Body.Close()
 	var answer struct {
-		Holds    [][4]any `json:"holds"`
-		HoldTime string   `json:"hold_time"`
+		Holds    [][]any `json:"holds"`
+		HoldTime string  `json:"hold_time"`
 	}
 	raw, _ := io.ReadAll(resp.Body)
-	if json.Unmarshal(raw, &answer) == nil && answer.HoldTime != "" {
-		d, _ := time.ParseDuration(answer.HoldTime)
-		b.mu.Lock()
-		b.holds, b.holdsUntil = answer.Holds, sent.Add(d)
-		b.mu.Unlock()
+	if b.keys == nil || json.Unmarshal(raw, &answer) != nil || answer.HoldTime == "" {
+		return resp.StatusCode, nil
+	}
+	hold, _ := time.ParseDuration(answer.HoldTime)
+	var rows []keyRow
+	for _, r := range answer.Holds {
+		from, _ := r[0].(float64)
+		to, _ := r[1].(float64)
+		fence, _ := r[2].(float64)
+		rows = append(rows, keyRow{int(from), int(to), int64(fence)})
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keys.grant(rows, sent.Add(hold))
 	return resp.StatusCode, nil
 }
