--- a/review/harness2/quota.go
+++ b/review/harness2/quota.go
@@ -65,10 +65,18 @@
 		r.logf("one more upload, waited for 20 s, is answered %q", sendSheet(n, "sheet-late", 20*time.Second))
 	}
 	r.logf("%d of %d ordinary uploads have no answer", missing, uploads)
-	if missing >= 8 {
-		return broken
+	if missing < 8 {
+		return held
 	}
-	return held
+	pressCrowd(n)
+	r.logf("a second crowd has come and closed all its connections")
+	time.Sleep(15 * time.Second)
+	for i := range 10 {
+		line := exchange(n.addr("outbound"), requestHead("GET", "/lookup/x", fmt.Sprintf("lookup-%d", i), 1000, "Connection: close")+"\r\n", 1500*time.Millisecond)
+		r.logf("lookup-%d, without a body: %q", i, line)
+	}
+	r.logf("the process runs: %v; it says that it is ready: %v", n.running(), n.ready())
+	return broken
 }
 
 // sendSheet uploads a sale sheet of 60000 bytes, the mean size of the site, and returns
@@ -98,7 +106,7 @@
 			}
 		}
 	}
-	open(stalledHeads, requestHead("GET", "/lookup/x", "head", 1000, "X-Fill: ")[:100]+strings.Repeat("f", 15900))
+	open(stalledHeads, requestHead("GET", "/lookup/x", "head", 1000)+"X-Fill: "+strings.Repeat("f", 15850))
 	open(stalledBodies, requestHead("POST", "/sheet/x", "body", 60000, "Content-Length: 32768")+"\r\n"+strings.Repeat("b", 16000))
 	small := []byte(strings.Repeat(requestHead("POST", "/submit/x", "small", 1000, "Content-Length: 2000")+"\r\n"+strings.Repeat("p", 2000), 50))
 	end := time.Now().Add(crowdTime)
