--- a/review/harness2/crash.go
+++ b/review/harness2/crash.go
@@ -11,10 +11,21 @@
 // crashCase sends a request that crashes each backend server that begins to run it
 // again and again.
 func crashCase(r *run) int {
-	const retries = 6
+	const (
+		retries = 6
+		// pause is longer than the server is away and stable-window.
+		pause = 5500 * time.Millisecond
+	)
 	var backends []*backend
 	var mu sync.Mutex
 	crashes, arrivals := 0, 0
+	// Callers use a node whose own backend server is not concerned.
+	beside, err := newBackend("hintapalvelu", "fi-south-a", "i-0")
+	if err != nil {
+		return notRun
+	}
+	backends = append(backends, beside)
+	newNode(r, "sidecar-fi-south-a-0", "fi-south-a", "hintapalvelu", beside)
 	for i, zone := range []string{"fi-south-a", "fi-south-b"} {
 		b, err := newBackend("raportit", zone, fmt.Sprintf("i-%d", i+1))
 		if err != nil {
@@ -42,7 +53,7 @@
 	}
 	r.putConfig([][]any{
 		{"r2", "ficu95.example", "/submit/", "non_idempotent", "1200ms", "400ms", 1, "raportit", 2, nil},
-	}, [][]any{service("raportit")})
+	}, [][]any{service("hintapalvelu"), service("raportit")})
 	if !r.startAll(backends...) {
 		return notRun
 	}
@@ -50,22 +61,22 @@
 	lost := 0
 	send := func(id string) {
 		// An ordinary request that runs beside it shows what a crash takes along.
-		var beside sync.WaitGroup
-		beside.Go(func() {
+		var ordinary sync.WaitGroup
+		ordinary.Go(func() {
 			line := exchange(n.addr("outbound"), requestHead("POST", "/submit/good", "good-"+id, 2500, "Connection: close", "Content-Length: 4")+"\r\ngood", 3*time.Second)
 			r.logf("ordinary request good-%s is answered %q", id, line)
 			if line != "HTTP/1.1 200 OK" {
 				lost++
 			}
 		})
-		defer beside.Wait()
+		defer ordinary.Wait()
 		time.Sleep(20 * time.Millisecond)
 		line := exchange(n.addr("outbound"), requestHead("POST", "/submit/bad", id, 2500, "Connection: close", "Content-Length: 3")+"\r\nbad", 3*time.Second)
 		r.logf("request %s, with the same path, caller and body, is answered %q", id, line)
 	}
 	for i := range 3 {
 		send(fmt.Sprintf("first-%d", i+1))
-		time.Sleep(4 * time.Second) // the backend server is back
+		time.Sleep(pause)
 	}
 	mu.Lock()
 	if r.trouble && crashes < 3 {
@@ -75,11 +86,10 @@
 	}
 	before := arrivals
 	mu.Unlock()
-	time.Sleep(2 * time.Second)
-	r.logf("stable-window has passed since the third crash")
+	r.logf("stable-window has passed since the third crash, and since the backend server came back")
 	for i := range retries {
 		send(fmt.Sprintf("retry-%d", i+1))
-		time.Sleep(4 * time.Second)
+		time.Sleep(pause)
 	}
 	mu.Lock()
 	defer mu.Unlock()
