--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -262,7 +262,7 @@
 		from, _ := r[0].(float64)
 		to, _ := r[1].(float64)
 		fence, _ := r[2].(float64)
-		rows = append(rows, keyRow{int(from), int(to), int64(fence)})
+		rows = append(rows, keyRow{from: int(from), to: int(to), fence: int64(fence)})
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/harness2/keyed.go
+++ b/review/harness2/keyed.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,6 +14,8 @@
 type keyRow struct {
 	from, to int
 	fence    int64
+	// until is when the hold of a row that was left out would have run out.
+	until time.Time
 }
 
 func (r keyRow) contains(key int) bool { return r.from <= key && key <= r.to }
@@ -52,9 +55,11 @@
 
 // expire drops the rows of a hold that has run out.
 func (h *keyHolder) expire() {
-	if time.Now().After(h.until) {
-		h.rows, h.leftOut = nil, nil
+	now := time.Now()
+	if now.After(h.until) {
+		h.rows = nil
 	}
+	h.leftOut = slices.DeleteFunc(h.leftOut, func(r keyRow) bool { return now.After(r.until) })
 }
 
 // settle frees the rows that were left out and on which the work has ended.
@@ -102,6 +107,7 @@
 			kept = kept || r.fence == o.fence && r.from <= o.to && o.from <= r.to
 		}
 		if !kept {
+			o.until = h.until // of the last grant that listed it
 			h.leftOut = append(h.leftOut, o)
 		}
 	}
@@ -199,11 +205,12 @@
 			first.keys.expire()
 			for _, row := range rows {
 				for key, n := range first.keys.working {
-					if n > 0 && row.contains(key) && (first.keys.holds(key) || rowOf(first.keys.leftOut, key)) {
+					left := first.keys.holdLeft(key)
+					if n > 0 && row.contains(key) && left > 0 {
 						mu.Lock()
 						overlaps++
 						mu.Unlock()
-						r.logf("i-2 is given keys %d to %d (fence %d); i-1 works on key %d, and its hold has %d ms to go", row.from, row.to, row.fence, key, time.Until(first.keys.until).Milliseconds())
+						r.logf("i-2 is given keys %d to %d (fence %d); i-1 works on key %d, and its hold has %d ms to go", row.from, row.to, row.fence, key, left.Milliseconds())
 					}
 				}
 			}
@@ -258,11 +265,18 @@
 	return held
 }
 
-func rowOf(rows []keyRow, key int) bool {
-	for _, r := range rows {
+// holdLeft returns how long the hold of a key lasts, or would last if its row had not
+// been left out of a later grant.
+func (h *keyHolder) holdLeft(key int) time.Duration {
+	for _, r := range h.rows {
 		if r.contains(key) {
-			return true
+			return time.Until(h.until)
 		}
 	}
-	return false
+	for _, r := range h.leftOut {
+		if r.contains(key) {
+			return time.Until(r.until)
+		}
+	}
+	return 0
 }
