review: case 8 is a loss of pipelined requests

The former case 8, memory over the limit, checks one process and not the number that the rule on faults counts.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -40,7 +40,7 @@
 	fmt.Fprintf(r.record, "%8.3f s  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-var cases = map[string]func(*run) int{"6": ownerCase, "7": quotaCase, "8": pipelineCase, "9": crashCase, "10": pathCase}
+var cases = map[string]func(*run) int{"6": ownerCase, "7": quotaCase, "8": lostCase, "memory": pipelineCase, "9": crashCase, "10": pathCase}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
