keys: log why a run loses its keys

Cause: when keys changed hands, neither logs nor metrics told why the coordinator took their former holder to hold them no more.

Change: the coordinator notes for each run what it loses and by which sign, logs a line for each and counts the keys as keys_reclaimed_REASON.

No decision changes.

--- a/shards/coordinator.go
+++ b/shards/coordinator.go
@@ -71,7 +71,9 @@
 	recallSeenAt     clock.Instant // last time at which recalled rows were outstanding
 	// movedLoads are the spans that were recalled for their load and have no
 	// holder yet.
-	movedLoads   []movedLoad
+	movedLoads []movedLoad
+	// reclaims are what runs lose in the assignment that Plan returned last.
+	reclaims     []Reclaim
 	writePending bool
 	// withheldHolders are the runs from which a write that is under way takes
 	// keys that they have not released. They get no lease, whether or not their
--- a/shards/plan.go
+++ b/shards/plan.go
@@ -18,6 +18,7 @@
 		return Assignment{}, false
 	}
 	rows := c.record.Rows
+	c.reclaims = nil
 	if c.needsAssignment(now) {
 		rows = c.assignRows(now, c.reclaimRows(now))
 	}
@@ -49,7 +50,7 @@
 // most plans a pass over the record, which has thousands of rows.
 func (c *Coordinator) needsAssignment(now clock.Instant) bool {
 	for h := range c.rowsByHolder {
-		if h == NoHolder || c.cannotHold(now, h) {
+		if h == NoHolder || c.endOfHold(now, h) != stillHeld {
 			return true
 		}
 	}
@@ -68,9 +69,14 @@
 	rows := slices.Clone(c.record.Rows)
 	for i := range rows {
 		h := rows[i].Holder
-		if h == NoHolder || !c.cannotHold(now, h) {
+		if h == NoHolder {
 			continue
 		}
+		sign := c.endOfHold(now, h)
+		if sign == stillHeld {
+			continue
+		}
+		c.noteReclaim(now, rows[i], sign)
 		rows[i].Holder, rows[i].Handover = NoHolder, ""
 		if state := c.memberStates[h.Node]; state != nil && state.ready && state.holder.Born > h.Born {
 			// The later run on the same VM takes the rows over. Otherwise the
@@ -82,27 +88,36 @@
 	for _, state := range c.memberStates {
 		releases = append(releases, state.releases...)
 	}
+	c.noteReleases(now, rows, releases)
 	return applyReleases(rows, releases)
 }
 
-// cannotHold reports whether a run can hold no keys any more.
-func (c *Coordinator) cannotHold(now clock.Instant, h Holder) bool {
+// endOfHold returns the sign by which a run can hold no keys any more, or stillHeld
+// if there is none. Only the passage of time and a later run on the same VM are taken
+// for one: a run that is silent, or refuses connections, may be at work on its keys.
+func (c *Coordinator) endOfHold(now clock.Instant, h Holder) ReclaimReason {
 	state := c.memberStates[h.Node]
 	if state == nil {
-		return now.After(c.earlierLeasesEnd) && now.Sub(c.tookOverAt) > c.timing.Lease
+		if now.After(c.earlierLeasesEnd) && now.Sub(c.tookOverAt) > c.timing.Lease {
+			return LeaseEnded
+		}
+		return stillHeld
 	}
 	if slices.Contains(state.endedRuns, h) {
-		return true
+		return RunEnded
 	}
 	if state.holder.Node == h.Node && state.holder.Born > h.Born {
-		return true // a later run was started on the same VM
+		return RunReplaced
 	}
 	ends, ok := state.leaseEnds[h]
 	if !ok {
 		ends = c.earlierLeasesEnd
 	}
 	gone := state.holder != h || now.Sub(state.lastRequestAt) > c.timing.Lease
-	return gone && now.After(ends)
+	if gone && now.After(ends) {
+		return LeaseEnded
+	}
+	return stillHeld
 }
 
 // assignRows assigns each row without a holder to the run with the least
--- a/sidecar/keys/duty.go
+++ b/sidecar/keys/duty.go
@@ -353,6 +353,11 @@
 	s.log(log.Fields{
 		"demand": s.coord.DemandSummary(), "rows": len(next.Rows), "fence": next.NextFence, "members": len(s.coord.LiveMembers(now)), "settled": next.EarlierLeasesEnded,
 	}).Info("key assignment planned by this node as coordinator, to be written to the store")
+	for _, r := range s.coord.Reclaims() {
+		s.cfg.OnReclaim(r)
+		s.log(log.Fields{"node": r.Holder.Node, "instance": r.Holder.Instance, "reason": r.Reason.String(), "keys": r.Keys, "lease_left_ms": r.LeaseLeft.Milliseconds()}).
+			Info("keys taken from a run of a backend server in the planned assignment")
+	}
 	s.writeRecord(next, revision, nil)
 }
 
--- a/sidecar/keys/keys.go
+++ b/sidecar/keys/keys.go
@@ -109,6 +109,9 @@
 	// OnRecordWritten is called on the controller's goroutine after each
 	// successful write of the record.
 	OnRecordWritten func()
+	// OnReclaim is called on the controller's goroutine with the keys that a run loses
+	// in an assignment which this node plans.
+	OnReclaim func(shards.Reclaim)
 }
 
 // Table is the key assignment of a service at one revision. It must not be
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"marjoramshore.example/ring"
+	"marjoramshore.example/shards"
 	"marjoramshore.example/sidecar/router"
 	"marjoramshore.example/telemetry"
 )
@@ -45,6 +46,11 @@
 	metrics.GetOrRegisterCounter("requests_failed_"+s.Err.Code.String(), m.registry).Inc(1)
 }
 
+// recordReclaim counts the keys that a run loses in an assignment, by the reason.
+func (m *nodeMetrics) recordReclaim(r shards.Reclaim) {
+	metrics.GetOrRegisterCounter("keys_reclaimed_"+r.Reason.String(), m.registry).Inc(int64(r.Keys))
+}
+
 // registerGauges registers the values that are read when metrics are served.
 func (m *nodeMetrics) registerGauges(n *Node) error {
 	gauges := map[string]func() int64{
