sidecar: a refused connection alone does not remove a stopping node's address

What callers would see: a backend server that has announced its leave gets requests again after a restart of its node, since the leave is gone from the store.

A node that stops took one refused connection, or the state unreachable, for proof that its backend server is gone, and removed its object from the store with the leaves that are recorded there. A backend server that is full, or finishes its requests, refuses connections too.

Change: the object is removed only if two status reports are missing as well.

Evidence: TestLeaveOfAServerThatRefusesConnectionsSurvivesAStop fails on the code before (the object is gone while the backend server reports each 200 ms). TestRemovedNodeLeavesListing holds: the address of a removed VM is still removed.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -130,6 +130,9 @@
 	running sync.Map
 	// demandBits is the demand as the bits of a float64.
 	demandBits atomic.Uint64
+	// reportedAt is the clock.Instant of the newest status report of the present run,
+	// or of the start.
+	reportedAt atomic.Int64
 	keyLoads   atomic.Pointer[keyLoads]
 	counts     counters
 	// maxReported is the highest load that the backend server has reported since
@@ -184,6 +187,7 @@
 		events: ring.New[event]("backend_events", eventRingCapacity, ring.Block),
 	}
 	p.usage.Store(&fleet.Usage{})
+	p.reportedAt.Store(int64(cfg.Clock.Now()))
 	p.keyLoads.Store(&keyLoads{})
 	g, err := gate.New(gate.Config{
 		BackendAddr: cfg.Address, Dialect: platform.BackendDialect{}, Permit: p.permit, TCPUserTimeout: tcpUserTimeout, BufferSize: connBufferSize,
@@ -203,6 +207,12 @@
 // read yet.
 func (p *Proxy) UnreadBodyBytes() int64 { return p.bodies.unread.Load() }
 
+// SilentFor returns how long no status report of the backend server has arrived, or how
+// long the event loop has run if there was none.
+func (p *Proxy) SilentFor() time.Duration {
+	return p.cfg.Clock.Now().Sub(clock.Instant(p.reportedAt.Load()))
+}
+
 // InFlight returns the number of requests that wait for a slot or are being
 // forwarded.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -76,6 +76,7 @@
 		st.beginRun(h, r)
 	}
 	st.lastSequence, st.lastReport = r.Sequence, st.now()
+	st.reportedAt.Store(int64(st.lastReport))
 	st.noteCold(r.WarmupRemaining)
 	st.runReports++
 	if st.silent {
--- a/sidecar/departures_test.go
+++ b/sidecar/departures_test.go
@@ -118,3 +118,16 @@
 	}
 	must.Eq(t, before, f.runs.Load(), must.Sprint("the backend server that has left got requests"))
 }
+
+// Guards against a leave that is forgotten because the node stops while its backend
+// server refuses connections: the address and the leave were removed from the store, and
+// a late report of the run made the next process send requests to it.
+func TestLeaveOfAServerThatRefusesConnectionsSurvivesAStop(t *testing.T) {
+	f := startFleet(t, "prices", "prices", "prices")
+	f.backends[2].Leave()
+	f.waitFor("the leave is not known", 5*time.Second, func() bool { return len(f.backends[2].KeyRanges()) == 0 })
+	f.backends[2].RefuseConnections()
+	f.nodes[2].Stop()
+	must.True(t, f.store.Has("marjoramshore", "node.node-2"), must.Sprint("the backend server reports, and may serve"))
+	f.nodes[2] = f.startNode(f.settings[2])
+}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -135,16 +135,24 @@
 // and before that to find out whether the backend server has ended.
 const removeAddressTimeout = 200 * time.Millisecond
 
-// removeAddress removes the node's address from the store if its backend server has
-// ended, because then the VM is about to be removed. While a leaving one still
-// serves, the next process must find there that it has left.
+// maxLateReports is the number of missing status reports from which a backend server
+// that also refuses connections is taken for gone by a node that stops. One that lives
+// reports to the node until its last moments.
+const maxLateReports = 2
+
+// removeAddress removes the node's address from the store if its backend server is
+// gone, because then the VM is about to be removed. While a leaving one still serves,
+// the next process must find there that it has left. A refused connection alone does not
+// show that it is gone: a full one refuses them too, and one that finishes its requests.
 func (n *Node) removeAddress() {
 	ctx, cancel := context.WithTimeout(context.Background(), removeAddressTimeout)
 	defer cancel()
 	self := n.nodes.Snapshot().Nodes[n.self.Node]
-	if self == nil || self.State == fleet.Ready || self.State != fleet.Unreachable && n.backendListens(ctx) {
+	silent := n.backend.SilentFor()
+	if self == nil || self.State == fleet.Ready || silent < maxLateReports*n.cfg.Settings.ReportInterval || n.backendListens(ctx) {
 		return
 	}
+	n.log.WithFields(log.Fields{"instance": self.Instance, "quiet_ms": silent.Milliseconds()}).Info("backend server is gone; the node's address is removed from the platform's store")
 	if _, ok := n.announcer.Remove().Wait(ctx); !ok {
 		n.log.Warn("removing this node's address from the platform's store took too long")
 	}
