suspect: a clock that is ahead clears no later deaths

What callers would see: a request that crashes backend servers goes on for as long as the time of day of one node is ahead, by however much it is.

Cause: the time of an answer, or of a lift, that another node tells was taken as it is. If the clock of that node is ahead, it lies in the future here, and each death up to it counted as cleared.

Change: neither is later than the moment at which it is heard of.

Evidence: TestClockAheadClearsNoLaterDeaths fails on the code before in both cases (the request is allowed after three deaths).

--- a/suspect/merge.go
+++ b/suspect/merge.go
@@ -103,8 +103,9 @@
 // merge adds m to the entry and reports whether that quarantines it.
 func (e *entry) merge(now clock.Instant, w wallClock, m Mark) bool {
 	before := e.quarantinedAt != 0
-	e.lastSuccess = laterTime(e.lastSuccess, w.toInstant(m.Success))
-	e.lastLift = laterTime(e.lastLift, w.toInstant(m.Lifted))
+	// A clock that is ahead would otherwise clear deaths that are still to come.
+	e.lastSuccess = laterTime(e.lastSuccess, min(now, w.toInstant(m.Success)))
+	e.lastLift = laterTime(e.lastLift, min(now, w.toInstant(m.Lifted)))
 	for _, d := range m.Deaths {
 		e.addDeath(death{d.ID, min(now, w.toInstant(d.At)), d.Share})
 	}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -273,6 +273,26 @@
 	must.EqOp(t, Allow, table.Start(now.Add(2*time.Second), 3))
 }
 
+// Guards against an answer, or a lift, of a node whose clock is ahead which clears the
+// deaths that come after it, so that the request is never quarantined.
+func TestClockAheadClearsNoLaterDeaths(t *testing.T) {
+	ahead := epoch.Add(time.Hour)
+	for name, m := range map[string]Mark{
+		"answer": {Fingerprint: 7, Success: ahead.UnixMilli(), Seen: ahead.UnixMilli()},
+		"lift":   {Fingerprint: 7, Lifted: ahead.UnixMilli(), Seen: ahead.UnixMilli()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, now := New(Config{}), clock.Instant(time.Hour)
+			table.Merge(now, epoch, []Mark{m})
+			for i := range 3 {
+				now = now.Add(time.Second)
+				table.RecordDeath(now, DeathID(i+1), []InflightRequest{{Fingerprint: 7}})
+			}
+			must.EqOp(t, Quarantined, table.Start(now, 7))
+		})
+	}
+}
+
 // Guards against allocations on the request path.
 func TestRequestPathDoesNotAllocate(t *testing.T) {
 	table := New(Config{})
