sidecar: recognise requests that crash backend servers, and quarantine them

With each crash the other requests of that backend server were lost, 9 of 9 that cannot be repeated.

Cause: on the path that the deploy file starts nothing kept what was in flight when a backend server ended. That nothing was known of a request was taken for the sign that it is harmless. Package suspect served only the project's own interface.

Refuted: the node does see the loss (each request ends as unknown, with a reset connection), and it does hear of the end of the run (new run of the backend server started, 2.0 s later); no log line or metric joined the two.

Change: the goroutine of the slot queue remembers requests that were sent and not answered. When a later run reports, or the run has broken off requests and is silent for 1.5 reports, those that it may have been at work on are marked, also the ones that their callers had left. A mark goes to each other node of the service by a call, repeated until it was answered. A whole answer clears the marks of its request. At the third crash without an answer between, the request is quarantined: refused at once as not run. Quarantines are objects in the platform's store, read before a node lets its backend server take requests; operators lift one by deleting its object. A marked request runs while no other marked one does, and waits up to 1 s for that, so that a request which was only there clears itself.

Why it works: each node of the service knows within 1.5 s of a crash what may have caused it, also while the store is away, and a new process learns it from the store.

Price: no request is fingerprinted while there are no marks. After a crash, requests that were in flight wait for one another.

--- a/peers/callclient.go
+++ b/peers/callclient.go
@@ -170,6 +170,12 @@
 	return callPeer[ReserveRequest, ReserveAnswer](ctx, c.calls, address, reserveProcedure, r)
 }
 
+// Marks sends marks of requests that may crash backend servers to the node at address,
+// host:port.
+func (c *Client) Marks(ctx context.Context, address string, r MarksRequest) (MarksAnswer, error) {
+	return callPeer[MarksRequest, MarksAnswer](ctx, c.calls, address, marksProcedure, r)
+}
+
 func callPeer[Req, Res any](ctx context.Context, c httpClient, address, procedure string, r Req) (Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
--- a/peers/calls.go
+++ b/peers/calls.go
@@ -12,6 +12,7 @@
 	"marjoramshore.example/core"
 	"marjoramshore.example/fleet"
 	"marjoramshore.example/shards"
+	"marjoramshore.example/suspect"
 )
 
 // CallError is the error of a failed call to another node.
@@ -33,6 +34,7 @@
 	documentProcedure = "/marjoramshore.peers.v1.Peers/Document"
 	withdrawProcedure = "/marjoramshore.peers.v1.Peers/Withdraw"
 	reserveProcedure  = "/marjoramshore.peers.v1.Peers/Reserve"
+	marksProcedure    = "/marjoramshore.peers.v1.Peers/Marks"
 )
 
 // StepDownRequest tells the coordinator of a service that another node replaced
@@ -84,6 +86,17 @@
 // ReserveAnswer is the answer to a ReserveRequest.
 type ReserveAnswer struct{ fleet.Reservation }
 
+// MarksRequest tells a node beside a backend server of a service which requests of the
+// service were in flight when backend servers crashed, and which of those have been
+// answered since.
+type MarksRequest struct {
+	Service core.Service
+	Marks   []suspect.Mark
+}
+
+// MarksAnswer says that the marks have been taken in.
+type MarksAnswer struct{}
+
 // Handler handles the calls of other nodes. A call may arrive twice.
 type Handler interface {
 	Report(ctx context.Context, r shards.LeaseRequest) shards.LeaseAnswer
@@ -91,6 +104,7 @@
 	Document(ctx context.Context, r DocumentRequest) DocumentAnswer
 	Withdraw(ctx context.Context, r WithdrawRequest) WithdrawAnswer
 	Reserve(ctx context.Context, r ReserveRequest) ReserveAnswer
+	Marks(ctx context.Context, r MarksRequest) MarksAnswer
 }
 
 // jsonCodec encodes plain Go types, for which connect-go has no codec.
@@ -117,6 +131,7 @@
 	registerProcedure(mux, documentProcedure, h.Document)
 	registerProcedure(mux, withdrawProcedure, h.Withdraw)
 	registerProcedure(mux, reserveProcedure, h.Reserve)
+	registerProcedure(mux, marksProcedure, h.Marks)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(callIDHeader, r.Header.Get(callIDHeader))
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -150,6 +150,9 @@
 // Withdraw implements Handler.
 func (testHandler) Reserve(context.Context, ReserveRequest) ReserveAnswer { return ReserveAnswer{} }
 
+// Marks implements Handler.
+func (testHandler) Marks(context.Context, MarksRequest) MarksAnswer { return MarksAnswer{} }
+
 func (testHandler) Withdraw(_ context.Context, r WithdrawRequest) WithdrawAnswer {
 	return WithdrawAnswer{NotRun: r == WithdrawRequest{Receiver: 1 << 60, SendID: core.SendID{Sender: 1<<60 + 1, Number: 3}}}
 }
--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -81,6 +81,10 @@
 	// is 0, there are no evacuations; else no run is ready before SetEvacuated was
 	// called or formerTimeout has passed.
 	EvacuationPeriod time.Duration
+	// Suspects passes on what is known of requests that crash backend servers. If it is
+	// set, no run is ready before SetQuarantinesKnown was called or formerTimeout has
+	// passed. It may be nil.
+	Suspects SuspectLog
 }
 
 // DepartureLog keeps departures beyond the end of the process.
@@ -139,12 +143,29 @@
 	// TakeMaxReportedLoad was called.
 	maxReported atomic.Int64
 	bodies      bodyBuffers
+	// marked and quarantined are the numbers of fingerprints with marks and in
+	// quarantine.
+	marked, quarantined atomic.Int64
+}
+
+// Suspects returns the number of fingerprints that are marked, and of those that are
+// quarantined.
+func (p *Proxy) Suspects() (marked, quarantined int64) {
+	return p.marked.Load(), p.quarantined.Load()
 }
 
 // Counts holds the decisions on requests since the proxy was created.
-type Counts struct{ Offered, Refused, Expired, Abandoned, Unreachable int64 }
+type Counts struct {
+	Offered, Refused, Expired, Abandoned, Unreachable int64
+	// Crashes counts the crashes of the backend server with requests in flight, Held the
+	// marked requests that waited for another one, and Quarantined the refused ones.
+	Crashes, Held, Quarantined int64
+}
 
-type counters struct{ offered, refused, expired, abandoned, unreachable atomic.Int64 }
+type counters struct {
+	offered, refused, expired, abandoned, unreachable atomic.Int64
+	crashes, held, quarantined                        atomic.Int64
+}
 
 // Counts returns the decisions so far: requests that asked for a slot, those of
 // them refused at once, those whose deadline passed while they waited, and those
@@ -154,6 +175,7 @@
 	return Counts{
 		Offered: p.counts.offered.Load(), Refused: p.counts.refused.Load(), Expired: p.counts.expired.Load(),
 		Abandoned: p.counts.abandoned.Load(), Unreachable: p.counts.unreachable.Load(),
+		Crashes: p.counts.crashes.Load(), Held: p.counts.held.Load(), Quarantined: p.counts.quarantined.Load(),
 	}
 }
 
@@ -272,19 +294,26 @@
 	}
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	release, whole, err := p.bodies.read(ctx, req)
+	release, data, whole, err := p.bodies.read(ctx, req)
 	defer release()
 	if err != nil {
 		return nil, err
 	}
+	id := identity{req: req, body: data}
 	if !whole {
+		if id, err = p.identifyStream(ctx, req); err != nil {
+			return nil, err
+		}
 		ctx = p.trackStream(ctx, req)
 	}
-	slot, err := p.admit(ctx, req)
+	slot, err := p.admitAs(ctx, req, id)
 	if err != nil {
 		return nil, err
 	}
 	resp, err := p.forward(ctx, req, slot)
+	if slot.unanswered {
+		slot.lost = p.describeLost(ctx, id, err)
+	}
 	if core.CodeOf(err) == core.CodeAborted {
 		p.logCutBody(slot, req)
 	}
@@ -327,6 +356,7 @@
 	resp, err := p.gate.Serve(ctx, req)
 	if err != nil {
 		e := core.AsError(err)
+		slot.unanswered = !e.Code.NotRun()
 		if !e.Code.NotRun() && ctx.Err() != nil {
 			p.counts.abandoned.Add(1)
 		}
@@ -349,7 +379,10 @@
 		_ = resp.Body.Close()
 		return nil, core.Fail(core.CodeUnknown, "the backend server's answer has no signature and does not state that the request did not run")
 	}
-	return bufferAnswer(resp)
+	resp, err = bufferAnswer(resp)
+	slot.unanswered = err != nil
+	slot.answered = err == nil && resp.Length >= 0 && resp.Length <= maxBufferedAnswer
+	return resp, err
 }
 
 // bufferAnswer reads an answer of up to maxBufferedAnswer bytes to its end.
@@ -364,7 +397,7 @@
 		return nil, core.Wrap(core.CodeUnknown, err, "the backend server's answer was cut off")
 	}
 	if len(data) > maxBufferedAnswer {
-		resp.Body = &partlyReadBody{Reader: io.MultiReader(bytes.NewReader(data), resp.Body), body: resp.Body}
+		resp.Body = newPrefixedBody(data, resp.Body)
 		return resp, nil
 	}
 	if err := resp.Body.Close(); err != nil {
@@ -375,15 +408,6 @@
 	return resp, nil
 }
 
-// partlyReadBody is the body of a long answer of which the first part was read.
-type partlyReadBody struct {
-	io.Reader
-	body io.Closer
-}
-
-// Close implements io.Closer.
-func (b *partlyReadBody) Close() error { return b.body.Close() }
-
 // Close closes the connections to the backend server after the requests in
 // flight, or when ctx ends.
 func (p *Proxy) Close(ctx context.Context) error { return p.gate.Shutdown(ctx) }
--- a/sidecar/backend/body.go
+++ b/sidecar/backend/body.go
@@ -23,28 +23,28 @@
 // nodes that are not read yet.
 type bodyBuffers struct{ used, unread atomic.Int64 }
 
-// read replaces the body of req by a copy in memory, if it is small enough, and
-// returns whether the body is whole then. The caller must call release when the request
-// has ended, also if read fails.
-func (b *bodyBuffers) read(ctx context.Context, req *core.Request) (release func(), whole bool, err error) {
+// read replaces the body of req by a copy in memory, which it returns, if it is small
+// enough. whole tells whether it is. The caller must call release when the request has
+// ended, also if read fails.
+func (b *bodyBuffers) read(ctx context.Context, req *core.Request) (release func(), data []byte, whole bool, err error) {
 	size := req.Length
 	if size <= 0 {
-		return func() {}, size == 0, nil
+		return func() {}, nil, size == 0, nil
 	}
 	endUnread := b.trackUnread(req)
 	if size > maxBufferedBody || b.used.Add(size) > maxBufferedBodies {
 		if size <= maxBufferedBody {
 			b.used.Add(-size)
 		}
-		return endUnread, false, nil
+		return endUnread, nil, false, nil
 	}
 	release = func() { b.used.Add(-size) }
-	data, err := core.ReadFullBody(ctx, req.Body, size)
+	data, err = core.ReadFullBody(ctx, req.Body, size)
 	endUnread()
 	if err == nil {
 		req.Body = io.NopCloser(bytes.NewReader(data))
 	}
-	return release, true, err
+	return release, data, true, err
 }
 
 // trackUnread counts the body of a request of another node as unread until it is
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -19,6 +19,7 @@
 	"marjoramshore.example/ring"
 	"marjoramshore.example/shards"
 	"marjoramshore.example/slotqueue"
+	"marjoramshore.example/suspect"
 )
 
 const (
@@ -59,6 +60,16 @@
 	key int
 	// stream is the body, or nil if it was read before.
 	stream *bodyStream
+	// fingerprints are those of the request, or nil if none was marked when it arrived.
+	fingerprints []suspect.Fingerprint
+	// unanswered is set if the request was sent and not answered, answered if it was
+	// answered whole, and lost describes it in the first case. They are set before the
+	// completion of the request is queued.
+	unanswered, answered bool
+	lost                 *lostRequest
+	// suspectStarted is set by the goroutine of Proxy.Run while the table of suspects
+	// counts the request.
+	suspectStarted bool
 	// canceled is set by the goroutine of Proxy.Run once the request no longer waits.
 	// Its cancellation may come first, since it takes another ring.
 	canceled bool
@@ -138,6 +149,16 @@
 	// it has answered a request since.
 	unreachableAt clock.Instant
 	answered      bool
+	// suspects knows the requests that may crash backend servers, held are those of them
+	// that wait, and lost the requests without an answer. crashed is the last run whose
+	// crash was recorded, lastAnswerAt the time of the last answer.
+	suspects     *suspect.Table
+	held         []heldRequest
+	lost         []lostRequest
+	crashed      shards.Holder
+	lastAnswerAt clock.Instant
+	// quarantinesKnown is set once the quarantines in the platform's store are known.
+	quarantinesKnown bool
 	// runAdded is set once the key controller knows of the run.
 	runAdded bool
 	// arrivals counts the slot requests since demandUpdatedAt.
@@ -188,7 +209,7 @@
 
 // Run runs the proxy's event loop until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
-	st := &state{Proxy: p, ctx: ctx, queue: slotqueue.New(), sends: newSendRecords(), streams: map[*slotRequest]struct{}{}, formerKnown: p.cfg.Departures == nil}
+	st := &state{Proxy: p, ctx: ctx, queue: slotqueue.New(), sends: newSendRecords(), streams: map[*slotRequest]struct{}{}, formerKnown: p.cfg.Departures == nil, suspects: suspect.New(suspect.Config{MinDeaths: minDeaths, MaxHold: maxSuspectWait}), quarantinesKnown: p.cfg.Suspects == nil}
 	st.evacuation.known = p.cfg.EvacuationPeriod == 0
 	st.readClock()
 	st.followColdBound()
@@ -230,7 +251,7 @@
 
 // tickInterval returns the time between ticks for the present state.
 func (st *state) tickInterval() time.Duration {
-	if st.queue.Stats().Waiting > 0 {
+	if st.queue.Stats().Waiting > 0 || len(st.held) > 0 {
 		return expireInterval
 	}
 	return idleInterval
@@ -253,9 +274,14 @@
 	}
 }
 
-// admit waits for a slot. The caller must pass the returned request to
-// completeRequest.
+// admit waits for a slot for a request without a body.
 func (p *Proxy) admit(ctx context.Context, req *core.Request) (*slotRequest, error) {
+	return p.admitAs(ctx, req, identity{req: req})
+}
+
+// admitAs waits for a slot. The caller must pass the returned request to
+// completeRequest.
+func (p *Proxy) admitAs(ctx context.Context, req *core.Request, id identity) (*slotRequest, error) {
 	now := p.cfg.Clock.Now()
 	toInstant := func(t time.Time) clock.Instant {
 		if t.IsZero() {
@@ -273,6 +299,9 @@
 		request.key = key
 	}
 	request.ticket.CallerData = request
+	if p.hasSuspects() {
+		request.fingerprints = id.fingerprints()
+	}
 	if p.requests.Push(ctx, request) != nil {
 		return nil, core.Fail(core.CodeOverloaded, "the node's ring of requests for the backend server is full")
 	}
@@ -330,9 +359,14 @@
 
 // offerRequest passes a slot request to the queue.
 func (st *state) offerRequest(request *slotRequest) {
-	if request.canceled {
+	if request.canceled || !st.startSuspect(request) {
 		return
 	}
+	st.offerToQueue(request)
+}
+
+// offerToQueue offers a request to the queue.
+func (st *state) offerToQueue(request *slotRequest) {
 	st.arrivals++
 	if request.key >= 0 {
 		st.keys.count(request.key)
@@ -349,7 +383,11 @@
 		if st.limit.perSecond > 0 {
 			detail = "the limit that the backend server names, or its slots, leave no room in time"
 		}
+		if decision.Code == core.CodeBackendDown {
+			detail = "the backend server takes no requests"
+		}
 		request.decision.Send(&core.Error{Code: decision.Code, Detail: detail, RetryAfter: decision.RetryAfter})
+		st.endSuspect(request, false)
 	}
 }
 
@@ -363,6 +401,7 @@
 		case st.sends.isWithdrawn(request.sendID):
 			request.decision.Send(core.Fail(core.CodeCanceledNotRun, "the node that sent the request has withdrawn it"))
 			tickets = append(tickets, st.queue.Done(st.now(), &request.ticket, false)...)
+			st.endSuspect(request, false)
 			continue
 		case !request.sendID.IsZero():
 			st.sends.admit(st.now(), request.sendID)
@@ -377,7 +416,9 @@
 // refuseAll refuses each of the tickets.
 func (st *state) refuseAll(tickets []*slotqueue.Ticket, code core.Code, detail string) {
 	for _, t := range tickets {
-		t.CallerData.(*slotRequest).decision.Send(core.Fail(code, detail))
+		request := t.CallerData.(*slotRequest)
+		request.decision.Send(core.Fail(code, detail))
+		st.endSuspect(request, false)
 	}
 }
 
@@ -385,11 +426,13 @@
 	m.request.canceled = true
 	delete(st.streams, m.request)
 	st.admitAll(st.queue.Cancel(st.now(), &m.request.ticket))
+	st.endSuspect(m.request, false)
 }
 
 func (waitsEnd) apply(st *state) {
 	st.queue.SetOpen(false)
 	st.refuseAll(st.queue.Flush(), core.CodeDraining, "the node of the backend server stops")
+	st.refuseHeld(core.CodeDraining, "the node of the backend server stops")
 }
 
 func (m completion) apply(st *state) {
@@ -398,6 +441,12 @@
 	st.admitAll(st.queue.Done(st.now(), &m.request.ticket, m.err == nil))
 	startedLate := m.err != nil && m.err.Code == core.CodeDeadline && m.request.ticket.RunTime(st.now()) < hungFactor*st.queue.Stats().MeanServiceTime
 	st.failures.Record(st.now(), m.backendFailed && !startedLate)
+	if m.request.lost != nil {
+		st.noteLost(m.request.lost)
+	} else if m.request.answered && m.request.instance == st.run.Holder.Instance {
+		st.noteAnswer(m.request.ticket.StartedAt())
+	}
+	st.endSuspect(m.request, m.request.answered)
 	switch {
 	case m.err == nil || m.err.ReachedBackend:
 		st.refusedDials = 0
@@ -426,6 +475,8 @@
 	st.checkFormer()
 	st.checkReports()
 	st.checkUnreachable()
+	st.checkCrash()
+	st.offerHeld()
 	if c := st.cfg.KeyController(); c != nil && st.run.Ready && !st.runAdded {
 		st.runAdded = true
 		c.AddRun(st.run.Holder, st.assignableSlots())
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -129,6 +129,7 @@
 // beginRun replaces the present run by a new one.
 func (st *state) beginRun(h shards.Holder, r platform.StatusReport) {
 	former := st.run.Holder
+	st.recordCrash("a later run reports")
 	st.cfg.Log.WithFields(log.Fields{
 		"instance": h.Instance, "born": h.Born, "former": former.Instance, "slots": r.Slots, "cold_ms": r.WarmupRemaining.Milliseconds(),
 	}).Info("new run of the backend server started")
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -31,6 +31,7 @@
 	"marjoramshore.example/sidecar/keys"
 	"marjoramshore.example/sidecar/nodes"
 	"marjoramshore.example/sidecar/router"
+	"marjoramshore.example/sidecar/suspects"
 	"marjoramshore.example/sidecar/watch"
 	"marjoramshore.example/slotqueue"
 	"marjoramshore.example/telemetry"
@@ -72,20 +73,24 @@
 	// a full link as well.
 	watchStore *platform.StoreClient
 
-	routes     routes.CurrentTable
-	configs    *configs.Keeper
-	budget     *dispatch.RetryBudget
-	nodes      *nodes.Tracker
-	announcer  *announce.Announcer
-	backend    *backend.Proxy
-	keyCaller  *backend.KeyCaller
-	router     *router.Router
-	peerLinks  peerLinks
-	peerClient *peers.Client
-	beacons    *peers.BeaconSocket
-	delays     *peers.DelayEstimator
-	linkMeter  core.ByteMeter // bytes between this node and others
-	linkUsage  atomic.Pointer[linkUsage]
+	routes    routes.CurrentTable
+	configs   *configs.Keeper
+	budget    *dispatch.RetryBudget
+	nodes     *nodes.Tracker
+	announcer *announce.Announcer
+	backend   *backend.Proxy
+	// spreader and quarantines pass on what the node knows of requests that crash backend
+	// servers.
+	spreader    *suspects.Spreader
+	quarantines *suspects.Archive
+	keyCaller   *backend.KeyCaller
+	router      *router.Router
+	peerLinks   peerLinks
+	peerClient  *peers.Client
+	beacons     *peers.BeaconSocket
+	delays      *peers.DelayEstimator
+	linkMeter   core.ByteMeter // bytes between this node and others
+	linkUsage   atomic.Pointer[linkUsage]
 	// linkSchedule reserves the node's own link for large bodies of other nodes.
 	linkSchedule *fleet.LinkSchedule
 	evacuations  atomic.Pointer[evacuations]
@@ -168,11 +173,12 @@
 		Kind: objectKind, Name: nodePrefix + string(s.Node), Entry: n.self, FirstStart: s.FirstStart, Store: n.store, Eras: n.store.Eras(), Log: n.log,
 		OnLoad: func(d []fleet.Departure) { n.backend.SetFormerDepartures(d) },
 	})
+	n.openSuspects()
 	var err error
 	n.backend, err = backend.New(backend.Config{
 		Node: s.Node, Service: s.Service, Address: s.BackendAddress, DrainPeriod: s.Bounds.DrainPeriod, ReportInterval: s.ReportInterval,
 		Clock: n.clock, Log: n.log, KeyController: func() *keys.Controller { return n.keyController(s.Service) }, OnRunChange: n.publishRun,
-		Departures: n.announcer, ColdBound: n.coldBound, EvacuationPeriod: s.Bounds.EvacuationPeriod,
+		Departures: n.announcer, ColdBound: n.coldBound, EvacuationPeriod: s.Bounds.EvacuationPeriod, Suspects: suspectLog{n},
 	})
 	if err != nil {
 		return err
@@ -254,6 +260,8 @@
 	n.runLoop(n.nodes.Receive)
 	n.runLoop(n.backend.Run)
 	n.runLoop(n.announcer.Run)
+	n.runLoop(n.spreader.Run)
+	n.runLoop(n.quarantines.Run)
 	n.runLoop(n.configs.Run)
 	n.runLoop(n.quota.Run)
 	n.runLoop(n.callQuota.Run)
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -18,7 +18,8 @@
 )
 
 // The nodes' objects in the store are of one kind, so that one listing returns
-// all of them: the address of each node and the key assignment of each service.
+// all of them: the address of each node, the key assignment of each service, and the
+// quarantined requests.
 const (
 	objectKind = "marjoramshore"
 	nodePrefix = "node."
@@ -141,12 +142,14 @@
 	}
 	listed := false
 	known := make(map[core.NodeID]bool)
+	quarantines := &listedQuarantines{n, make(map[string]uint64)}
 	for {
 		wait := syncRetryDelay
 		switch {
 		case !listed:
 			l, err := n.store.List(ctx, objectKind)
 			if listed = err == nil; listed {
+				quarantines.apply(l)
 				n.applyListing(l, known)
 				continue
 			}
@@ -155,6 +158,7 @@
 			wait = listInterval
 			l, err := n.store.ListStale(ctx, objectKind)
 			if err == nil {
+				quarantines.apply(l)
 				n.applyListing(l, known)
 			} else {
 				n.log.WithError(err).Debug("listing nodes and key tables in the platform's store again failed; retrying")
@@ -195,6 +199,9 @@
 		n.applyTable(service, o)
 		return "", false
 	}
+	if isQuarantine(o) {
+		return "", false
+	}
 	id, ok := strings.CutPrefix(o.Name, nodePrefix)
 	if !ok {
 		n.log.WithField("name", o.Name).Warn("object in the platform's store ignored: its name has no known prefix")
--- /dev/null
+++ b/sidecar/quarantines.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"marjoramshore.example/core"
+	"marjoramshore.example/peers"
+	"marjoramshore.example/platform"
+	"marjoramshore.example/sidecar/backend"
+	"marjoramshore.example/sidecar/suspects"
+	"marjoramshore.example/suspect"
+)
+
+// quarantineRetention is how long a quarantine is kept in the store from when it began.
+// The nodes forget it at the same age if its request does not come again.
+const quarantineRetention = 24 * time.Hour
+
+// suspectLog implements backend.SuspectLog.
+type suspectLog struct{ node *Node }
+
+// Spread implements backend.SuspectLog.
+func (l suspectLog) Spread(marks []suspect.Mark) { l.node.spreader.Spread(marks) }
+
+// Keep implements backend.SuspectLog.
+func (l suspectLog) Keep(q backend.Quarantine) {
+	l.node.quarantines.Keep(suspects.Record{Service: l.node.self.Service, Note: q.Note, Mark: q.Mark})
+}
+
+// openSuspects creates the duties that pass on what this node knows of requests that
+// crash backend servers.
+func (n *Node) openSuspects() {
+	n.spreader = suspects.NewSpreader(suspects.SpreaderConfig{
+		Service: n.self.Service, Clock: n.clock, Log: n.log, Client: n.peerClient, Pool: n.pool, Peers: n.suspectPeers,
+	})
+	n.quarantines = suspects.NewArchive(suspects.ArchiveConfig{Kind: objectKind, Store: n.store, Eras: n.store.Eras(), Log: n.log})
+}
+
+// suspectPeers returns the other live nodes beside backend servers of the node's service.
+func (n *Node) suspectPeers() []suspects.Peer {
+	var out []suspects.Peer
+	for _, p := range n.nodes.Snapshot().ByService[n.self.Service] {
+		if p.Alive && p.Node != n.self.Node && p.Incarnation != 0 {
+			out = append(out, suspects.Peer{Node: p.Node, Incarnation: p.Incarnation, Address: p.PeerAddress})
+		}
+	}
+	return out
+}
+
+// Marks implements peers.Handler.
+func (h peerHandler) Marks(_ context.Context, r peers.MarksRequest) peers.MarksAnswer {
+	if r.Service == h.node.self.Service {
+		h.node.backend.MergeMarks(r.Marks, "another node")
+	}
+	return peers.MarksAnswer{}
+}
+
+// listedQuarantines follows the quarantines of the node's service in the listings of the
+// store. Only the goroutine of the listings may use it.
+type listedQuarantines struct {
+	node *Node
+	// revisions holds the revisions of the objects that were listed.
+	revisions map[string]uint64
+}
+
+// isQuarantine reports whether an object is that of a quarantine.
+func isQuarantine(o platform.Object) bool { return strings.HasPrefix(o.Name, suspects.ObjectPrefix) }
+
+// apply passes on the quarantines that are new in a listing, and lifts those whose
+// objects have been deleted.
+func (q *listedQuarantines) apply(l platform.Listing) {
+	listed := make(map[string]bool)
+	for _, o := range l.Objects {
+		if !isQuarantine(o) {
+			continue
+		}
+		listed[o.Name] = true
+		if q.revisions[o.Name] == o.Revision {
+			continue
+		}
+		r, err := suspects.DecodeRecord(o.Name, o.Spec)
+		switch {
+		case err != nil:
+			q.node.log.WithError(err).Warn("quarantine in the platform's store ignored")
+		case r.Service != q.node.self.Service:
+		case time.Since(time.UnixMilli(r.Mark.Quarantined)) > quarantineRetention:
+			if q.node.isConfigPoller() {
+				q.node.quarantines.Remove(o.Name)
+			}
+			continue
+		default:
+			q.node.backend.MergeMarks([]suspect.Mark{r.Mark}, "the platform's store")
+		}
+		q.revisions[o.Name] = o.Revision
+	}
+	for name, revision := range q.revisions {
+		// A listing may be from before the object was created. A store that goes back may
+		// have lost the object, which is written again then.
+		if listed[name] || core.EraOfRevision(l.Revision) == core.EraOfRevision(revision) && l.Revision < revision {
+			continue
+		}
+		delete(q.revisions, name)
+		if core.EraOfRevision(l.Revision) == core.EraOfRevision(revision) {
+			q.node.quarantines.Forget(name)
+			q.node.backend.LiftQuarantine(suspects.ParseObjectName(name))
+		}
+	}
+	q.node.backend.SetQuarantinesKnown()
+}
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,10 @@
 	RateLimit float64
 	// Observer is told what the server observes, when not nil.
 	Observer Observer
+	// CrashPath is the prefix of the paths of requests that crash the server, if it is
+	// not empty. OnCrash is called then.
+	CrashPath string
+	OnCrash   func()
 }
 
 // Observer receives the events of a server in the order in which they happen.
@@ -206,6 +211,16 @@
 	s.stopped.Wait()
 }
 
+// HasCrashed reports whether Crash was called.
+func (s *Server) HasCrashed() bool {
+	select {
+	case <-s.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // Leave makes the server report from now on that it is draining.
 func (s *Server) Leave() {
 	s.mu.Lock()
@@ -317,6 +332,12 @@
 			time.AfterFunc(cancelDelay, s.checkSlots)
 		}
 	}
+	if s.cfg.CrashPath != "" && strings.HasPrefix(r.URL.Path, s.cfg.CrashPath) {
+		s.cfg.OnCrash()
+		go s.Crash()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	s.repeatRefusal(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -209,6 +209,20 @@
 	return ok
 }
 
+// Names returns the names of a kind that begin with prefix, sorted.
+func (s *Store) Names(kind, prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for name := range s.objects[kind] {
+		if strings.HasPrefix(name, prefix) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Put writes an object as an operator does.
 func (s *Store) Put(kind, name string, spec json.RawMessage) {
 	s.mu.Lock()
--- a/suspect/merge.go
+++ b/suspect/merge.go
@@ -64,6 +64,18 @@
 	return out
 }
 
+// Marks returns the marks of those fingerprints that the table knows.
+func (t *Table) Marks(now clock.Instant, wall time.Time, fingerprints []Fingerprint) []Mark {
+	w := wallClock{now, wall.UnixMilli()}
+	var out []Mark
+	for _, f := range fingerprints {
+		if e := t.find(now, f); e != nil {
+			out = append(out, e.toMark(f, w))
+		}
+	}
+	return out
+}
+
 // toMark returns the mark of fingerprint f, whose entry is e.
 func (e *entry) toMark(f Fingerprint, w wallClock) Mark {
 	m := Mark{
@@ -93,7 +105,7 @@
 			e.lastSeen = seen
 		}
 		e.lastSeen = laterTime(e.lastSeen, seen)
-		if e.merge(now, w, m) {
+		if e.merge(now, w, m, t.cfg.MinDeaths) {
 			quarantined = append(quarantined, m.Fingerprint)
 		}
 	}
@@ -101,7 +113,7 @@
 }
 
 // merge adds m to the entry and reports whether that quarantines it.
-func (e *entry) merge(now clock.Instant, w wallClock, m Mark) bool {
+func (e *entry) merge(now clock.Instant, w wallClock, m Mark, minDeaths int) bool {
 	before := e.quarantinedAt != 0
 	// A clock that is ahead would otherwise clear deaths that are still to come.
 	e.lastSuccess = laterTime(e.lastSuccess, min(now, w.toInstant(m.Success)))
@@ -113,7 +125,7 @@
 	if q := w.toInstant(m.Quarantined); q > e.lastLift && e.quarantinedAt == 0 {
 		e.quarantinedAt = min(now, q)
 	}
-	e.quarantineIfDue(now)
+	e.quarantineIfDue(now, minDeaths)
 	return !before && e.quarantinedAt != 0
 }
 
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"marjoramshore.example/clock"
@@ -84,6 +85,9 @@
 	// MaxHold is the longest time for which one marked request makes others
 	// wait (1 s).
 	MaxHold time.Duration
+	// MinDeaths is the number of deaths from which a fingerprint whose shares of the
+	// blame add up to one is quarantined (2, and at most 3).
+	MinDeaths int
 }
 
 func (c Config) withDefaults() Config {
@@ -96,6 +100,10 @@
 	if c.MaxHold <= 0 {
 		c.MaxHold = time.Second
 	}
+	if c.MinDeaths <= 0 {
+		c.MinDeaths = 2
+	}
+	c.MinDeaths = min(c.MinDeaths, maxDeaths)
 	return c
 }
 
@@ -103,10 +111,10 @@
 type Table struct {
 	cfg     Config
 	entries map[Fingerprint]*entry
-	// exclusive is the marked entry that runs here since exclusiveSince. Other
-	// marked requests are held while its running count is above zero, for at
-	// most MaxHold.
-	exclusive      *entry
+	// exclusive are the marked entries of the request that runs here since
+	// exclusiveSince. Marked requests without any of them are held while the running
+	// count of one is above zero, for at most MaxHold.
+	exclusive      [maxFingerprints]*entry
 	exclusiveSince clock.Instant
 }
 
@@ -115,41 +123,71 @@
 	return &Table{cfg: c.withDefaults(), entries: make(map[Fingerprint]*entry)}
 }
 
-// Start decides whether a request may start on the backend server. A request
-// that has no entry creates none.
-func (t *Table) Start(now clock.Instant, f Fingerprint) Verdict {
-	e := t.find(now, f)
+// Start decides whether a request may start on the backend server. A request may have
+// several fingerprints, of which each counts. One that has no entry creates none.
+func (t *Table) Start(now clock.Instant, fingerprints ...Fingerprint) Verdict {
+	var marked [maxFingerprints]*entry
+	isMarked, isExclusive, quarantined := false, false, false
+	for i, f := range fingerprints[:min(len(fingerprints), maxFingerprints)] {
+		e := t.find(now, f)
+		switch {
+		case e == nil:
+		case e.quarantinedAt != 0:
+			e.lastSeen = now
+			quarantined = true
+		case e.deathCount > 0:
+			marked[i], isMarked = e, true
+			isExclusive = isExclusive || slices.Contains(t.exclusive[:], e)
+		}
+	}
 	switch {
-	case e == nil:
-		return Allow
-	case e.quarantinedAt != 0:
-		e.lastSeen = now
+	case quarantined:
 		return Quarantined
-	case e.deathCount == 0:
+	case !isMarked:
 		return Allow
-	case t.exclusive != nil && t.exclusive != e && t.exclusive.running > 0 && now.Sub(t.exclusiveSince) < t.cfg.MaxHold:
+	case !isExclusive && t.exclusiveRuns() && now.Sub(t.exclusiveSince) < t.cfg.MaxHold:
 		return Hold
 	}
-	if t.exclusive != e || e.running == 0 {
-		t.exclusive, t.exclusiveSince = e, now
+	if !isExclusive || !t.exclusiveRuns() {
+		t.exclusive, t.exclusiveSince = marked, now
+	}
+	for _, e := range marked {
+		if e != nil {
+			e.running++
+		}
 	}
-	e.running++
 	return Allow
 }
 
-// Finish records the end of a request that Start allowed. ok means that the
-// backend server gave a complete answer, which clears the fingerprint's earlier
-// deaths.
-func (t *Table) Finish(now clock.Instant, f Fingerprint, ok bool) {
-	e := t.entries[f]
-	if e == nil {
-		return
-	}
-	e.running = max(0, e.running-1)
-	if ok && e.quarantinedAt == 0 {
-		e.lastSuccess, e.lastSeen = now, now
-		e.removeCleared()
+// exclusiveRuns reports whether a request with one of the exclusive entries runs.
+func (t *Table) exclusiveRuns() bool {
+	return slices.ContainsFunc(t.exclusive[:], func(e *entry) bool { return e != nil && e.running > 0 })
+}
+
+// maxFingerprints bounds the fingerprints of one request.
+const maxFingerprints = 2
+
+// Finish records the end of a request with one fingerprint, as FinishAll does.
+func (t *Table) Finish(now clock.Instant, f Fingerprint, ok bool) { t.FinishAll(now, ok, f) }
+
+// FinishAll records the end of a request that Start allowed. ok means that the backend
+// server gave a complete answer, which clears the fingerprints' earlier deaths. It
+// reports whether that changed a mark.
+func (t *Table) FinishAll(now clock.Instant, ok bool, fingerprints ...Fingerprint) bool {
+	cleared := false
+	for _, f := range fingerprints {
+		e := t.entries[f]
+		if e == nil {
+			continue
+		}
+		e.running = max(0, e.running-1)
+		if ok && e.quarantinedAt == 0 {
+			cleared = cleared || e.deathCount > 0
+			e.lastSuccess, e.lastSeen = now, now
+			e.removeCleared()
+		}
 	}
+	return cleared
 }
 
 // InflightRequest is a request that was in flight when the backend server died.
@@ -165,8 +203,8 @@
 // RecordDeath marks the requests in flight at a death and returns the
 // fingerprints that become quarantined by it. The blame is shared among the
 // fingerprints that have earlier marks, or among all when none has. A
-// fingerprint is quarantined at its second death if its shares add up to one,
-// and at its third in any case.
+// fingerprint is quarantined from Config.MinDeaths on if its shares add up to one, and
+// at its third death in any case.
 func (t *Table) RecordDeath(now clock.Instant, id DeathID, inflight []InflightRequest) []Fingerprint {
 	unhandled := make(map[Fingerprint]string, len(inflight))
 	markedCount := 0
@@ -188,7 +226,7 @@
 		delete(unhandled, r.Fingerprint)
 		e := t.findOrAdd(now, r.Fingerprint)
 		e.note, e.running = note[:min(len(note), maxNoteBytes)], 0
-		if e.addDeath(death{id, now, t.blameShare(e, markedCount, len(inflight))}) && e.quarantineIfDue(now) {
+		if e.addDeath(death{id, now, t.blameShare(e, markedCount, len(inflight))}) && e.quarantineIfDue(now, t.cfg.MinDeaths) {
 			quarantined = append(quarantined, r.Fingerprint)
 		}
 	}
@@ -242,13 +280,37 @@
 func (t *Table) ListQuarantined(now clock.Instant) []QuarantinedRequest {
 	var out []QuarantinedRequest
 	for f := range t.entries {
-		if e := t.find(now, f); e != nil && e.quarantinedAt != 0 {
-			out = append(out, QuarantinedRequest{f, e.note, e.deathCount, now.Sub(e.quarantinedAt), now.Sub(e.lastSeen)})
+		if q, ok := t.Find(now, f); ok {
+			out = append(out, q)
 		}
 	}
 	return out
 }
 
+// Find returns what is known of a quarantined fingerprint, or false if it is not
+// quarantined.
+func (t *Table) Find(now clock.Instant, f Fingerprint) (QuarantinedRequest, bool) {
+	e := t.find(now, f)
+	if e == nil || e.quarantinedAt == 0 {
+		return QuarantinedRequest{}, false
+	}
+	return QuarantinedRequest{f, e.note, e.deathCount, now.Sub(e.quarantinedAt), now.Sub(e.lastSeen)}, true
+}
+
+// Count returns the number of fingerprints with marks, and of those in quarantine.
+func (t *Table) Count(now clock.Instant) (marked, quarantined int) {
+	for f := range t.entries {
+		switch e := t.find(now, f); {
+		case e == nil:
+		case e.quarantinedAt != 0:
+			quarantined++
+		case e.deathCount > 0:
+			marked++
+		}
+	}
+	return marked, quarantined
+}
+
 // Len returns the number of fingerprints in the table.
 func (t *Table) Len() int { return len(t.entries) }
 
@@ -320,12 +382,12 @@
 
 // quarantineIfDue quarantines the entry if its deaths suffice and reports
 // whether it did.
-func (e *entry) quarantineIfDue(now clock.Instant) bool {
+func (e *entry) quarantineIfDue(now clock.Instant, minDeaths int) bool {
 	var blame float32
 	for _, d := range e.deaths[:e.deathCount] {
 		blame += d.share
 	}
-	if e.quarantinedAt != 0 || e.deathCount < maxDeaths && (e.deathCount < 2 || blame < 1) {
+	if e.quarantinedAt != 0 || e.deathCount < maxDeaths && (e.deathCount < minDeaths || blame < 1) {
 		return false
 	}
 	e.quarantinedAt = now
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -293,6 +293,39 @@
 	}
 }
 
+// Guards against a request that is quarantined before its third death where that is the
+// least, and against one that is not after it.
+func TestMinDeaths(t *testing.T) {
+	table, now := New(Config{MinDeaths: 3}), clock.Instant(time.Hour)
+	for i := range 3 {
+		must.EqOp(t, Allow, table.Start(now, 7))
+		table.RecordDeath(now, DeathID(i+1), []InflightRequest{{Fingerprint: 7}})
+		now = now.Add(time.Second)
+	}
+	must.EqOp(t, Quarantined, table.Start(now, 7))
+}
+
+// Guards against the answer to one of several equal requests which clears more than its
+// own fingerprints, and against a request that waits for itself.
+func TestRequestWithTwoFingerprints(t *testing.T) {
+	table, now := New(Config{MinDeaths: 3}), clock.Instant(time.Hour)
+	const plain, forCaller, forOther = 1, 2, 3
+	table.RecordDeath(now, 1, []InflightRequest{{Fingerprint: plain}, {Fingerprint: forCaller}})
+	now = now.Add(time.Second)
+	must.EqOp(t, Allow, table.Start(now, plain, forCaller))
+	must.EqOp(t, Allow, table.Start(now, plain, forOther), must.Sprint("an equal request"))
+	must.True(t, table.FinishAll(now, true, plain, forOther), must.Sprint("another caller is answered"))
+	marked, _ := table.Count(now)
+	must.Eq(t, 1, marked, must.Sprint("the mark of the first caller stays"))
+	must.False(t, table.FinishAll(now, false, plain, forCaller))
+	for i := range 2 {
+		now = now.Add(time.Second)
+		table.RecordDeath(now, DeathID(i+2), []InflightRequest{{Fingerprint: plain}, {Fingerprint: forCaller}})
+	}
+	must.EqOp(t, Quarantined, table.Start(now, plain, forCaller))
+	must.EqOp(t, Allow, table.Start(now, plain, forOther))
+}
+
 // Guards against allocations on the request path.
 func TestRequestPathDoesNotAllocate(t *testing.T) {
 	table := New(Config{})
