--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -176,7 +176,10 @@
 		seen[step.Kind] = true
 		must.Between(t, 0, step.Node, shape.Nodes()-1)
 	}
-	must.MapLen(t, int(kindCount), seen)
+	must.MapLen(t, int(Refuse), seen, must.Sprint("each kind that need not be named"))
+	for _, step := range Plan(1, Shape{Keyed: 3, Plain: 1, Trouble: time.Minute, Gap: time.Second, Kinds: []Kind{Refuse}}) {
+		must.Eq(t, Refuse, step.Kind)
+	}
 	shape.Planned = true
 	for _, step := range Plan(3, shape) {
 		must.True(t, step.Kind.Planned())
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -62,6 +62,10 @@
 	Throttle
 	// StoreGarble makes the store send bytes that are no responses.
 	StoreGarble
+
+	// Refuse makes a backend server refuse new connections while it goes on. It is not
+	// drawn unless Shape.Kinds names it, so that the plans of known seeds stay.
+	Refuse
 	kindCount // number of kinds
 )
 
@@ -69,7 +73,7 @@
 
 var kindNames = [kindCount]string{
 	"restart", "reload", "configure", "leave", "kill", "pause", "crash", "cut-in", "cut-back", "mute", "reset-in", "slow-in",
-	"cut-store", "store-down", "store-slow", "store-lost", "store-forget", "store-deaf", "misbehave", "throttle", "store-garble",
+	"cut-store", "store-down", "store-slow", "store-lost", "store-forget", "store-deaf", "misbehave", "throttle", "store-garble", "refuse",
 }
 
 // String returns the name of the kind in plans and reports.
@@ -156,7 +160,7 @@
 		return s.Kinds
 	}
 	var kinds []Kind
-	for k := range kindCount {
+	for k := range Refuse {
 		if k.Planned() || !s.Planned {
 			kinds = append(kinds, k)
 		}
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -75,6 +75,14 @@
 		r.restartServer(v)
 	case Misbehave:
 		r.injectServerFault(v, s)
+	case Refuse:
+		server := v.server.Load()
+		server.RefuseConnections()
+		r.runAfter(s.Duration, func() {
+			if err := server.AcceptConnections(); err != nil {
+				r.fail(err)
+			}
+		})
 	case CutIn, CutBack, ResetIn, SlowIn:
 		r.disturbLinks(v, s)
 	case Mute:
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -137,7 +137,11 @@
 	http        *http.Server
 	startedAtMs int64
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// accepting is the open listener, unless refusals calls of RefuseConnections have
+	// not ended.
+	accepting net.Listener
+	refusals  int
 	held      []KeyRange
 	heldUntil time.Time
 	// released holds the key ranges given up since the last answered report, as
@@ -168,7 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, ln: ln, startedAtMs: time.Now().UnixMilli(), runCounts: make(map[string]int), stop: make(chan struct{})}
+	s := &Server{cfg: cfg, ln: ln, accepting: ln, startedAtMs: time.Now().UnixMilli(), runCounts: make(map[string]int), stop: make(chan struct{})}
 	s.http = &http.Server{Handler: s, ConnContext: garble.ConnContext}
 	s.serve(ln)
 	s.stopped.Go(s.sendReports)
@@ -184,12 +188,24 @@
 
 // RefuseConnections makes the server refuse new connections, as one that is full or
 // leaves does. It goes on with its requests and its reports.
-func (s *Server) RefuseConnections() { _ = s.ln.Close() }
+func (s *Server) RefuseConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusals++
+	_ = s.accepting.Close()
+}
 
-// AcceptConnections ends RefuseConnections.
+// AcceptConnections ends one RefuseConnections. The server accepts connections once all
+// have ended, unless it has crashed.
 func (s *Server) AcceptConnections() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusals--; s.refusals > 0 || s.HasCrashed() {
+		return nil
+	}
 	ln, err := net.Listen("tcp", s.ln.Addr().String())
 	if err == nil {
+		s.accepting = ln
 		s.serve(ln)
 	}
 	return err
