sidecar: a run keeps its keys while the quarantines are read after a start

What callers saw: more refusals after a restart of many nodes.

Cause: a report that came after the departures and before the quarantines were known was passed on as that of a run which is not ready. The coordinator takes such a run for one that leaves, and recalled its keys.

TestNoRequestsBeforeQuarantinesAreKnown fails on the commit before.

--- a/sidecar/backend/crash_test.go
+++ b/sidecar/backend/crash_test.go
@@ -222,13 +222,16 @@
 }
 
 // Guards against a run that gets requests before its new process knows what is in
-// quarantine, and against one that waits for a store that is away.
+// quarantine, against one that loses its keys meanwhile because it counts as leaving, and
+// against one that waits for a store that is away.
 func TestNoRequestsBeforeQuarantinesAreKnown(t *testing.T) {
 	p := startCrashProxy(t, time.Minute)
-	p.report(1, false)
+	must.False(t, p.report(1, false).Current)
 	must.Eq(t, core.CodeBackendDown, p.send(t.Context(), "/good", ""))
 	p.SetQuarantinesKnown()
 	must.Eq(t, 0, p.send(t.Context(), "/good", ""))
+	ack := p.report(1, false)
+	must.True(t, ack.Current && ack.Ready)
 
 	away := startCrashProxy(t, time.Minute)
 	away.report(1, false)
