sidecar: bound what is kept of suspect requests, and repeat marks that were not taken

Cause: reading the change again. An attempt id or a target of 16 KB was kept with each of 256 lost requests; a marked request could be one of any number that wait; a node whose event loop was behind answered that it had taken marks before it had; and waiting requests stayed for up to 1 s after their backend server had begun to refuse connections, although they could not be served.

Change: 128 bytes of each text are kept, 256 requests wait at most, an answer to marks says whether they were queued and is repeated otherwise, and waiting requests are refused with the others.

--- a/peers/calls.go
+++ b/peers/calls.go
@@ -94,8 +94,8 @@
 	Marks   []suspect.Mark
 }
 
-// MarksAnswer says that the marks have been taken in.
-type MarksAnswer struct{}
+// MarksAnswer confirms, with Taken, that the marks have been taken in.
+type MarksAnswer struct{ Taken bool }
 
 // Handler handles the calls of other nodes. A call may arrive twice.
 type Handler interface {
--- a/sidecar/backend/crash.go
+++ b/sidecar/backend/crash.go
@@ -25,8 +25,10 @@
 	// crashSilence is the number of intervals without a report after which a run that
 	// has broken off requests counts as crashed. A run that is back sooner reports.
 	crashSilence = 1.5
-	// maxLoggedIDs bounds the requests that the line of a crash names.
+	// maxLoggedIDs bounds the requests that the line of a crash names, and maxLostText the
+	// bytes that are kept of each text that a caller has sent.
 	maxLoggedIDs = 8
+	maxLostText  = 128
 )
 
 // lostRequest is a request that reached the backend server and was not answered.
@@ -45,7 +47,8 @@
 // describeLost returns the record of a request that was sent and not answered.
 func (p *Proxy) describeLost(ctx context.Context, i identity, err error) *lostRequest {
 	l := &lostRequest{
-		id: i.req.ID, instance: i.req.Instance, note: i.req.Method + " " + i.req.Path + " of " + string(i.req.Origin), fingerprints: i.fingerprints(),
+		id: clip(i.req.ID), instance: i.req.Instance, fingerprints: i.fingerprints(),
+		note:   clip(i.req.Method + " " + i.req.Path + " of " + string(i.req.Origin)),
 		broken: ctx.Err() == nil && isConnectionEnd(err),
 	}
 	if !i.req.Deadline.IsZero() {
@@ -54,6 +57,9 @@
 	return l
 }
 
+// clip returns a copy of the first maxLostText bytes of a text.
+func clip(text string) string { return strings.Clone(text[:min(len(text), maxLostText)]) }
+
 // isConnectionEnd reports whether an exchange failed because the backend server ended
 // the connection.
 func isConnectionEnd(err error) bool {
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -468,6 +468,7 @@
 	if deadline := clock.Instant(st.sendDeadline.Load()); deadline != 0 && !st.now().Before(deadline) {
 		st.queue.SetOpen(false)
 		st.refuseAll(st.queue.Flush(), core.CodeDraining, "the backend server has left and takes no more requests")
+		st.refuseHeld(core.CodeDraining, "the backend server has left and takes no more requests")
 	}
 	st.endStalledStreams()
 	st.checkEvacuation()
@@ -514,6 +515,7 @@
 	st.unreachableAt, st.answered = st.now(), false
 	st.queue.SetOpen(false)
 	st.refuseAll(st.queue.Flush(), core.CodeBackendDown, "the backend server refuses connections")
+	st.refuseHeld(core.CodeBackendDown, "the backend server refuses connections")
 	if c := st.cfg.KeyController(); c != nil {
 		c.MarkUnreachable(st.run.Holder)
 	}
--- a/sidecar/backend/suspects.go
+++ b/sidecar/backend/suspects.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -16,8 +17,10 @@
 	// minDeaths is the number of crashes at which a request is quarantined. With fewer, a
 	// request that is sent again during unrelated crashes would be as well.
 	minDeaths = 3
-	// maxSuspectWait bounds the wait of a marked request for another one to end.
+	// maxSuspectWait bounds the wait of a marked request for another one to end, and
+	// maxHeld the requests that wait for that.
 	maxSuspectWait = time.Second
+	maxHeld        = 256
 	// quarantineRetryAfter is the Retry-After of a quarantined request. Only operators
 	// end its quarantine.
 	quarantineRetryAfter = time.Minute
@@ -56,9 +59,11 @@
 }
 
 // MergeMarks takes in what others know of requests that crash backend servers. source
-// says where it comes from.
-func (p *Proxy) MergeMarks(marks []suspect.Mark, source string) {
-	p.pushEvent(marksReceived{marks, source})
+// says where it comes from. It reports whether the event loop will take the marks in.
+func (p *Proxy) MergeMarks(marks []suspect.Mark, source string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	return p.events.Push(ctx, marksReceived{marks, source}) == nil
 }
 
 func (m marksReceived) apply(st *state) {
@@ -144,6 +149,10 @@
 		st.refuseQuarantined(request)
 		return false
 	case suspect.Hold:
+		if len(st.held) == maxHeld {
+			refuseSuspect(request)
+			return false
+		}
 		st.counts.held.Add(1)
 		st.held = append(st.held, heldRequest{request, st.now()})
 		return false
@@ -152,6 +161,14 @@
 	return true
 }
 
+// refuseSuspect refuses a marked request that has waited for too long, or cannot wait.
+func refuseSuspect(request *slotRequest) {
+	request.decision.Send(&core.Error{
+		Code: core.CodeOverloaded, Detail: "the request ran when a backend server crashed, and waited in vain for another such request to end",
+		RetryAfter: minSuspectRetryAfter + rand.N(minSuspectRetryAfter),
+	})
+}
+
 func (st *state) refuseQuarantined(request *slotRequest) {
 	st.counts.quarantined.Add(1)
 	detail := "the request is quarantined: backend servers that ran it crashed"
@@ -189,10 +206,7 @@
 		switch {
 		case h.request.canceled:
 		case st.now().Sub(h.since) >= maxSuspectWait || h.request.ticket.Deadline != 0 && !st.now().Before(h.request.ticket.Deadline):
-			h.request.decision.Send(&core.Error{
-				Code: core.CodeOverloaded, Detail: "the request ran when a backend server crashed, and waited in vain for another such request to end",
-				RetryAfter: minSuspectRetryAfter + rand.N(minSuspectRetryAfter),
-			})
+			refuseSuspect(h.request)
 		default:
 			verdict := st.suspects.Start(st.now(), h.request.fingerprints...)
 			if verdict == suspect.Hold {
--- a/sidecar/crashing_test.go
+++ b/sidecar/crashing_test.go
@@ -155,4 +155,3 @@
 	must.Eq(t, 3, f.crashes.Load())
 	must.Eq(t, 200, f.post("/sheet/good", large), must.Sprint("the same body on another path"))
 }
-
--- a/sidecar/objects.go
+++ b/sidecar/objects.go
@@ -142,7 +142,7 @@
 	}
 	listed := false
 	known := make(map[core.NodeID]bool)
-	quarantines := &listedQuarantines{n, make(map[string]uint64)}
+	quarantines := &listedQuarantines{node: n, revisions: make(map[string]uint64)}
 	for {
 		wait := syncRetryDelay
 		switch {
--- a/sidecar/quarantines.go
+++ b/sidecar/quarantines.go
@@ -50,10 +50,7 @@
 
 // Marks implements peers.Handler.
 func (h peerHandler) Marks(_ context.Context, r peers.MarksRequest) peers.MarksAnswer {
-	if r.Service == h.node.self.Service {
-		h.node.backend.MergeMarks(r.Marks, "another node")
-	}
-	return peers.MarksAnswer{}
+	return peers.MarksAnswer{Taken: r.Service != h.node.self.Service || h.node.backend.MergeMarks(r.Marks, "another node")}
 }
 
 // listedQuarantines follows the quarantines of the node's service in the listings of the
@@ -62,6 +59,8 @@
 	node *Node
 	// revisions holds the revisions of the objects that were listed.
 	revisions map[string]uint64
+	// applied is set once a listing was passed on.
+	applied bool
 }
 
 // isQuarantine reports whether an object is that of a quarantine.
@@ -83,14 +82,14 @@
 		switch {
 		case err != nil:
 			q.node.log.WithError(err).Warn("quarantine in the platform's store ignored")
-		case r.Service != q.node.self.Service:
+		case r.Service != q.node.self.Service: // no request of it comes here
 		case time.Since(time.UnixMilli(r.Mark.Quarantined)) > quarantineRetention:
 			if q.node.isConfigPoller() {
 				q.node.quarantines.Remove(o.Name)
 			}
 			continue
-		default:
-			q.node.backend.MergeMarks([]suspect.Mark{r.Mark}, "the platform's store")
+		case !q.node.backend.MergeMarks([]suspect.Mark{r.Mark}, "the platform's store"):
+			continue // the next listing tries again
 		}
 		q.revisions[o.Name] = o.Revision
 	}
@@ -106,5 +105,8 @@
 			q.node.backend.LiftQuarantine(suspects.ParseObjectName(name))
 		}
 	}
-	q.node.backend.SetQuarantinesKnown()
+	if !q.applied {
+		q.applied = true
+		q.node.backend.SetQuarantinesKnown()
+	}
 }
--- a/sidecar/suspects/spread.go
+++ b/sidecar/suspects/spread.go
@@ -64,9 +64,10 @@
 
 // callResult is the outcome of a call that sent the batches up to a number.
 type callResult struct {
-	peer Peer
-	sent uint64
-	err  error
+	peer  Peer
+	sent  uint64
+	taken bool
+	err   error
 }
 
 // NewSpreader returns a spreader. It sends nothing until Run is called.
@@ -163,9 +164,9 @@
 		}
 		last := st.last
 		st.calling[p.Incarnation] = st.cfg.Pool.Submit(func() {
-			_, err := st.cfg.Client.Marks(ctx, p.Address, request)
-			// The ring is closed to nobody, and ctx ends with the consumer.
-			_ = st.results.Push(ctx, callResult{p, last, err})
+			a, err := st.cfg.Client.Marks(ctx, p.Address, request)
+			// Push fails only once ctx has ended, and with it the consumer.
+			_ = st.results.Push(ctx, callResult{p, last, a.Taken, err})
 		}) == nil
 	}
 	st.sent = known
@@ -173,8 +174,8 @@
 
 func (st *spreading) complete(r callResult) {
 	delete(st.calling, r.peer.Incarnation)
-	if r.err != nil {
-		st.cfg.Log.WithError(r.err).WithFields(log.Fields{"node": r.peer.Node, "peer": r.peer.Address}).
+	if r.err != nil || !r.taken {
+		st.cfg.Log.WithFields(log.Fields{"node": r.peer.Node, "peer": r.peer.Address, "error": r.err}).
 			Warn("marks of requests that may crash backend servers not sent to a node; retrying")
 		return
 	}
--- a/sidecar/suspects/suspects_test.go
+++ b/sidecar/suspects/suspects_test.go
@@ -27,24 +27,26 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)), must.Sprint(failure))
 }
 
-// testPeers are the other nodes. Those that are down take no marks.
+// testPeers are the other nodes. Those that are down or full take no marks.
 type testPeers struct {
-	mu    sync.Mutex
-	list  []Peer
-	down  map[string]bool
-	got   map[string][]suspect.Mark
-	calls int
+	mu   sync.Mutex
+	list []Peer
+	down map[string]bool
+	full map[string]bool
+	got  map[string][]suspect.Mark
 }
 
 func (p *testPeers) Marks(_ context.Context, address string, r peers.MarksRequest) (peers.MarksAnswer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.calls++
 	if p.down[address] {
 		return peers.MarksAnswer{}, &peers.CallError{Procedure: "Marks", Cause: context.DeadlineExceeded}
 	}
+	if p.full[address] {
+		return peers.MarksAnswer{}, nil
+	}
 	p.got[address] = append(p.got[address], r.Marks...)
-	return peers.MarksAnswer{}, nil
+	return peers.MarksAnswer{Taken: true}, nil
 }
 
 func (p *testPeers) present() []Peer {
@@ -68,7 +70,9 @@
 // Guards against a node that never gets a mark because it could not be reached, or was
 // started anew, at the time of the crash, and against marks that are sent again for ever.
 func TestEachNodeGetsEachMarkOnce(t *testing.T) {
-	p := &testPeers{list: []Peer{{"a", 1, "a"}, {"b", 2, "b"}}, down: map[string]bool{"b": true}, got: map[string][]suspect.Mark{}}
+	p := &testPeers{
+		list: []Peer{{"a", 1, "a"}, {"b", 2, "b"}, {"c", 3, "c"}}, down: map[string]bool{"b": true}, full: map[string]bool{"c": true}, got: map[string][]suspect.Mark{},
+	}
 	pool, err := ants.NewPool(4, ants.WithNonblocking(true))
 	must.NoError(t, err)
 	defer pool.Release()
@@ -78,6 +82,8 @@
 	eventually(t, "a gets nothing", func() bool { return p.count("a") == 1 })
 	p.change(func() { p.down["b"] = false })
 	eventually(t, "b gets nothing once it can be reached", func() bool { return p.count("b") == 1 })
+	p.change(func() { p.full["c"] = false })
+	eventually(t, "c gets nothing once it can take marks", func() bool { return p.count("c") == 1 })
 	s.Spread([]suspect.Mark{{Fingerprint: 2}})
 	eventually(t, "the second mark is not sent", func() bool { return p.count("a") == 2 && p.count("b") == 2 })
 	p.change(func() { p.list[0].Incarnation, p.got["a"] = 9, nil })
