--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -32,13 +32,6 @@
 	// maxMissedReports is the number of missing reports after which the keys of
 	// a run are reassigned once its holds have ended.
 	maxMissedReports = 3
-	// maxRefusedDials is the number of connections refused in a row after which a run
-	// counts as unreachable. It may have ended. It may also be full, or leave, and be at
-	// work.
-	maxRefusedDials = 2
-	// minUnreachable is the time after which an answer of an unreachable run makes it
-	// reachable again, which bounds how often the other nodes are told.
-	minUnreachable = 250 * time.Millisecond
 	// drainMargin is the time from the last request that is sent to the end of a
 	// drain.
 	drainMargin = 400 * time.Millisecond
@@ -145,10 +138,10 @@
 	silent bool
 	// refusedDials counts the connections refused in a row.
 	refusedDials int
-	// unreachableAt is when the present run became unreachable, and answered is set once
+	// unreachableAt is when the present run became unreachable, and answeredSince is set once
 	// it has answered a request since.
 	unreachableAt clock.Instant
-	answered      bool
+	answeredSince bool
 	// suspects knows the requests that may crash backend servers, held are those of them
 	// that wait, and lost the requests without an answer. crashed is the last run whose
 	// crash was recorded, lastAnswerAt the time of the last answer.
@@ -450,7 +443,7 @@
 	switch {
 	case m.err == nil || m.err.ReachedBackend:
 		st.refusedDials = 0
-		st.answered = st.answered || m.request.instance == st.run.Holder.Instance
+		st.answeredSince = st.answeredSince || m.request.instance == st.run.Holder.Instance
 	case errors.Is(m.err, syscall.ECONNREFUSED):
 		st.refusedDials++
 		if st.refusedDials == maxRefusedDials {
@@ -499,35 +492,4 @@
 	}
 }
 
-// suspendRun records that the present run refuses connections, and refuses the requests
-// that wait for it. It may hold its keys and work on requests, so that nobody else gets
-// its keys before its holds have ended.
-func (st *state) suspendRun() {
-	if st.run.Holder == shards.NoHolder || st.run.Unreachable {
-		return
-	}
-	st.counts.unreachable.Add(1)
-	st.cfg.Log.WithFields(log.Fields{
-		"instance": st.run.Holder.Instance, "running": st.queue.Stats().Running, "waiting": st.queue.Stats().Waiting,
-		"leaving": st.run.Leaving, "quiet_ms": st.now().Sub(st.lastReport).Milliseconds(),
-	}).Warn("backend server refuses connections; it keeps its keys until its holds end, and gets no requests before it reports or answers")
-	st.run.Ready, st.run.Unreachable = false, true
-	st.unreachableAt, st.answered = st.now(), false
-	st.queue.SetOpen(false)
-	st.refuseAll(st.queue.Flush(), core.CodeBackendDown, "the backend server refuses connections")
-	st.refuseHeld(core.CodeBackendDown, "the backend server refuses connections")
-	if c := st.cfg.KeyController(); c != nil {
-		c.MarkUnreachable(st.run.Holder)
-	}
-	st.notifyRunChange()
-}
-
-// checkUnreachable opens the queue again for a run that refused connections and has
-// answered a request since.
-func (st *state) checkUnreachable() {
-	if st.run.Unreachable && !st.run.Leaving && st.answered && st.now().Sub(st.unreachableAt) >= minUnreachable {
-		st.resumeRun("answer")
-	}
-}
-
 func (st *state) notifyRunChange() { st.cfg.OnRunChange(st.run) }
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -156,16 +156,6 @@
 	st.notifyRunChange()
 }
 
-// resumeRun opens the queue again for a run that refused connections. sign is what shows
-// that it lives.
-func (st *state) resumeRun(sign string) {
-	st.cfg.Log.WithFields(log.Fields{"instance": st.run.Holder.Instance, "sign": sign, "after_ms": st.now().Sub(st.unreachableAt).Milliseconds()}).
-		Info("backend server that refused connections gets requests again")
-	st.run.Unreachable, st.refusedDials = false, 0
-	st.openRun()
-	st.notifyRunChange()
-}
-
 // SendPeriod returns how long requests may be sent to a run within a drain period.
 func SendPeriod(drain time.Duration) time.Duration { return max(0, drain-drainMargin) }
 
