--- a/sidecar/backend/crash_test.go
+++ b/sidecar/backend/crash_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -238,3 +239,17 @@
 	away.report(1, false)
 	away.waitFor("the run never gets requests", func() bool { return away.send(t.Context(), "/good", "") == 0 })
 }
+
+// BenchmarkFingerprints measures what a request costs while there are marks.
+func BenchmarkFingerprints(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 60 << 10, 512 << 10} {
+		req := newRequest("r", int64(size), strings.NewReader(""))
+		id := identity{req: req, body: make([]byte, size)}
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				id.fingerprints()
+			}
+		})
+	}
+}
