sidecar/backend: tell a streamed request from others before it is sent

What callers would see: an upload of more than 512 KB that crashes backend servers was not recognised when the backend server crashed right after the head.

Cause: the first 4 KiB of a streamed body were kept as they were read. The head goes out once it fills the buffer of the connection with the first part of the body, before 4 KiB of that have been read; without them the request had no fingerprint.

Change: the first 4 KiB are awaited between the slot and the sending.

--- a/sidecar/backend/backend.go
+++ b/sidecar/backend/backend.go
@@ -310,6 +310,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := id.awaitFirst(ctx); err != nil {
+		p.completeRequest(ctx, slot, nil, err)
+		return nil, err
+	}
 	resp, err := p.forward(ctx, req, slot)
 	if slot.unanswered {
 		slot.lost = p.describeLost(ctx, id, err)
--- a/sidecar/backend/identity.go
+++ b/sidecar/backend/identity.go
@@ -28,7 +28,7 @@
 // fingerprints returns the fingerprints of a request: one of what it asks for, and one
 // of that and the service of its caller. A backend server may crash for one caller only,
 // and the answer to another one does not clear the second fingerprint. There are none
-// while too little of a streamed body is known.
+// while too little of a streamed body is known, which is before the request is sent.
 func (i identity) fingerprints() []suspect.Fingerprint {
 	body := i.body
 	if i.first != nil {
@@ -73,16 +73,26 @@
 // has to tell it from requests that may crash the backend server, its first bytes are
 // awaited.
 func (p *Proxy) identifyStream(ctx context.Context, req *core.Request) (identity, error) {
-	first := &firstBytes{ReadCloser: req.Body}
-	req.Body = first
-	if p.hasSuspects() {
-		data, _, err := core.ReadBodyUpTo(ctx, first, streamedIdentity-1)
-		if err != nil {
-			return identity{}, err
-		}
-		req.Body = newPrefixedBody(data, first)
+	id := identity{req: req, first: &firstBytes{ReadCloser: req.Body}}
+	req.Body = id.first
+	if !p.hasSuspects() {
+		return id, nil
+	}
+	return id, id.awaitFirst(ctx)
+}
+
+// awaitFirst reads the first bytes of a streamed body, unless that was done, and puts
+// them back. Without them a backend server could crash before the request can be told
+// from others.
+func (i identity) awaitFirst(ctx context.Context) error {
+	if i.first == nil || i.first.seen.Load() != nil {
+		return nil
+	}
+	data, _, err := core.ReadBodyUpTo(ctx, i.req.Body, streamedIdentity-1)
+	if err == nil {
+		i.req.Body = newPrefixedBody(data, i.req.Body)
 	}
-	return identity{req: req, first: first}, nil
+	return err
 }
 
 // prefixedBody is a body of which the first bytes have been read and are read again.
