entrance: do not go back to an owner that has refused the request

Callers saw: a request refused as not run (not-owner) while its key moves in calm.

Change: a node that is named as the owner but has refused the request itself is not asked again before a newer table or a wait in vain. The request waits for the new owner instead.

Ruled out: remembering refusals for the whole request.

--- a/entrance/router.go
+++ b/entrance/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -112,6 +113,10 @@
 	hintedAddr string
 	// redirected is set if the latest attempt went to a hinted address.
 	redirected bool
+	// sentTo is the address of the latest attempt, and refusedBy those that have
+	// refused the request as not the owner since the last wait in vain.
+	sentTo    string
+	refusedBy []string
 }
 
 func (q *routedRequest) route(ctx context.Context) (*core.Response, error) {
@@ -122,6 +127,9 @@
 			return resp, nil
 		}
 		q.mayHaveRun = q.mayHaveRun || !err.Code.NotRun()
+		if err.Code == core.CodeNotOwner {
+			q.refusedBy = append(q.refusedBy, q.sentTo)
+		}
 		if ctx.Err() != nil {
 			return nil, q.callerError(err, err.Code, err.RetryAfter)
 		}
@@ -133,7 +141,11 @@
 		case routing.RefreshTable:
 			// Try again even if no other owner appears: the same owner may
 			// respond now, after a broken connection or an outdated table.
-			q.awaitOwner(ctx, tried, route, fetchTimeout)
+			if !q.awaitOwner(ctx, tried, route, fetchTimeout) {
+				// Without a newer table, a node that refused may have become
+				// the owner meanwhile.
+				q.refusedBy = nil
+			}
 		case routing.WaitForOwner:
 			if !q.awaitOwner(ctx, tried, route, min(decision.Wait, q.router.policy.MaxWait)) {
 				return nil, q.callerError(err, core.CodeNoOwner, q.router.policy.Jitter(0))
@@ -148,7 +160,8 @@
 func (q *routedRequest) retryInput(err *core.Error) routing.Failure {
 	f := routing.Failure{
 		Code: err.Code, Owner: err.OwnerPeerAddress, Redirected: q.redirected, RetryAfter: err.RetryAfter,
-		Idempotent: q.req.Idempotent, MayHaveReachedBackend: q.mayHaveRun,
+		OwnerRefused: slices.Contains(q.refusedBy, err.OwnerPeerAddress),
+		Idempotent:   q.req.Idempotent, MayHaveReachedBackend: q.mayHaveRun,
 		BodyConsumed: !q.body.replayable(), Attempts: q.attemptsMade, Deadline: q.deadline,
 	}
 	if q.noOwnerFound {
@@ -185,7 +198,7 @@
 	default:
 		addr = route.Member.Address
 	}
-	q.noOwnerFound = false
+	q.noOwnerFound, q.sentTo = false, addr
 	q.attemptsMade++
 	q.router.counts.attempts.Add(1)
 	resp, err := q.sendAttempt(ctx, addr)
--- a/entrance/router_test.go
+++ b/entrance/router_test.go
@@ -52,6 +52,13 @@
 	return nil, core.Fail(core.CodeUnavailable, "tables cannot be fetched")
 }
 
+// singleOwnerTable returns a table that gives all keys to the node at an address.
+func singleOwnerTable(address string, version uint64) *core.Table {
+	token := core.Token{Term: 1, Sequence: version}
+	return &core.Table{Group: core.GroupID{Service: "s"}, Version: token, Members: []core.Member{{Node: core.NodeID(address), Incarnation: 1, Address: address}},
+		Entries: []core.Entry{{Range: core.FullRange, Token: token}}}
+}
+
 // tablesWithOwner returns tables that name one owner of all keys, and that cannot
 // be refreshed.
 func tablesWithOwner(t *testing.T, address string) *Tables {
@@ -63,8 +70,7 @@
 	go tables.Run(ctx)
 	g := core.GroupID{Service: "s"}
 	tables.SetGroupRanges("s", []routing.GroupRange{{Range: core.FullRange}})
-	tables.LearnTable(&core.Table{Group: g, Version: core.Token{Term: 1, Sequence: 1}, Members: []core.Member{{Node: "a", Incarnation: 1, Address: address}},
-		Entries: []core.Entry{{Range: core.FullRange, Token: core.Token{Term: 1, Sequence: 1}}}})
+	tables.LearnTable(singleOwnerTable(address, 1))
 	for tables.View().Table(g) == nil {
 		tables.awaitNewView(ctx, tables.current.Load(), refreshInterval)
 	}
@@ -118,3 +124,47 @@
 		must.NoError(t, err, must.Sprint(known, peers.sentTo))
 	}
 }
+
+// lateOwner answers for a range that moves from a:1 to b:1. a:1 has released the
+// range and names nobody until the table does; b:1 names a:1 until its lease has
+// arrived, 50 ms after it was first asked.
+type lateOwner struct {
+	tables    *Tables
+	askedAt   time.Time
+	sentTo    []string
+	published int
+}
+
+func (l *lateOwner) Exchange(_ context.Context, addr string, _ *core.Request) (*core.Response, error) {
+	l.sentTo = append(l.sentTo, addr)
+	refusal := core.Fail(core.CodeNotOwner, "another node owns the key")
+	if addr == "a:1" {
+		if l.published == 2 {
+			refusal.OwnerPeerAddress = "b:1"
+			return nil, refusal
+		}
+		l.published++
+		owner := []string{"a:1", "b:1"}[l.published-1]
+		time.AfterFunc(20*time.Millisecond, func() { l.tables.LearnTable(singleOwnerTable(owner, uint64(l.published+1))) })
+		return nil, refusal
+	}
+	if l.askedAt.IsZero() {
+		l.askedAt = time.Now()
+	}
+	if time.Since(l.askedAt) > 50*time.Millisecond {
+		return &core.Response{Status: 200, Body: core.NoBody}, nil
+	}
+	refusal.OwnerPeerAddress = "a:1"
+	return nil, refusal
+}
+
+// Guards against a refusal during a planned move: the old owner refused a request
+// until the table named the new one, which named the old owner again, and the last
+// attempt went back there.
+func TestRequestDoesNotGoBackToAnOwnerThatRefused(t *testing.T) {
+	peers := &lateOwner{tables: tablesWithOwner(t, "a:1")}
+	r := NewRouter(Config{Tables: peers.tables, Peers: peers, Clock: clock.NewReal()})
+	_, err := r.Serve(t.Context(), &core.Request{Service: "s", Key: "k", Body: core.NoBody})
+	must.NoError(t, err, must.Sprint(peers.sentTo))
+	must.Eq(t, []string{"a:1", "a:1", "b:1", "b:1"}, peers.sentTo)
+}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -34,6 +34,9 @@
 	// Redirected reports that the attempt went to an owner that the failure before
 	// it had named.
 	Redirected bool
+	// OwnerRefused reports that Owner itself has refused the request as not the
+	// owner. The node that names it knows an older table than that refusal.
+	OwnerRefused bool
 	// RetryAfter is the delay that the refusing side asked for, or zero.
 	RetryAfter time.Duration
 	Idempotent bool
@@ -163,7 +166,7 @@
 func actionFor(f Failure) Action {
 	switch f.Code {
 	case core.CodeNotOwner:
-		if f.Owner != "" && !f.Redirected {
+		if f.Owner != "" && !f.Redirected && !f.OwnerRefused {
 			return RetryOwner
 		}
 		// The owner that a former owner names may not have learned of the move
