routing: charge no redirect to the retry budget

Callers saw: 429 (retry-budget-exhausted) while a range moves in calm, for requests whose owner was known.

Cause, by a log of each attempt in a scratch copy: the entrance's table was one version behind, so that each request was refused by the old owner with the name of the new one. Each of these redirects was charged to the retry budget; ten requests in a row emptied it before the table was fetched again.

Change: a redirect to the owner that a refusing node names is outside the budget, as a wait for the owner of a lost range is. Nothing was passed on, and a request has four attempts at most.

Evidence: TestRedirectsDoNotExhaustTheRetryBudget fails on the code before at request 9. TestAttemptsPerRequestInOverload holds unchanged.

--- a/entrance/router_test.go
+++ b/entrance/router_test.go
@@ -168,3 +168,15 @@
 	must.NoError(t, err, must.Sprint(peers.sentTo))
 	must.Eq(t, []string{"a:1", "a:1", "b:1", "b:1"}, peers.sentTo)
 }
+
+// Guards against callers that are refused while a range moves in calm: each request
+// that the old owner redirected was charged to the retry budget, which was empty
+// before the new table arrived.
+func TestRedirectsDoNotExhaustTheRetryBudget(t *testing.T) {
+	peers := &movingOwner{}
+	r := NewRouter(Config{Tables: tablesWithOwner(t, "a:1"), Peers: peers, Clock: clock.NewReal()})
+	for i := range 3 * routing.DefaultBurst {
+		_, err := r.Serve(t.Context(), &core.Request{Service: "s", Key: "k", Body: core.NoBody})
+		must.NoError(t, err, must.Sprintf("request %d", i))
+	}
+}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -117,9 +117,11 @@
 		return p.stopLate(f, mayHaveRun)
 	}
 	// An attempt that reached no listening process caused no load, so its wait
-	// for a new owner is not charged to the budget. All keys of a lost owner
-	// wait at once and would otherwise exhaust it.
-	uncharged := !mayHaveRun && (f.Attempts == 0 || f.Code == core.CodePeerUnreachable)
+	// for a new owner is not charged to the budget, and neither is a redirect by
+	// a node that has passed nothing on. All keys of a lost owner wait at once,
+	// and all callers of a moved range are redirected until the new table
+	// arrives; both would otherwise exhaust the budget.
+	uncharged := !mayHaveRun && (f.Attempts == 0 || f.Code == core.CodePeerUnreachable || action == RetryOwner)
 	if !uncharged && !p.Budget.SpendRetry() {
 		return p.stopWith(f, budgetCode(f, mayHaveRun))
 	}
