quota: no goroutine waits for the reclaimer

To end a stalled connection closes its holding, on the goroutine of the reclaimer, which pushed to its own ring; refused senders had filled that. Weighed: a reclaimer without processor time (refuted: it is blocked in Push for good, on an idle machine), and a lost signal of the ring (refuted: the ring stays at 1024 of 1024 and the test below shows the push).

Change: the ring refuses. A holding that the reclaimer can't be told of gets no more bytes; one shortage is queued at a time, since the reclaimer looks at all holdings for each; the end of a holding sends nothing, the reclaimer forgets closed ones when it looks, and before their number doubles.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -8,6 +8,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -32,23 +34,26 @@
 	// checkInterval is the interval at which the reclaimer looks whether more is held
 	// than the limit.
 	checkInterval = time.Second
-	// ringCapacity has room for the holdings that begin and end within the time in
-	// which the reclaimer gets no processor time.
+	// ringCapacity has room for the holdings that begin within the time in which the
+	// reclaimer gets no processor time.
 	ringCapacity = 1024
 )
 
-// Quota is the bound. Its methods may be called from any goroutine.
+// Quota is the bound. Its methods may be called from any goroutine. None of them waits
+// for the reclaimer, which itself ends holdings that are closed on its goroutine.
 type Quota struct {
 	limit    int64
 	clock    clock.Clock
 	used     atomic.Int64
 	messages *ring.Ring[message]
-	counts   struct{ refused, ended atomic.Int64 }
+	// shortageQueued is set while a shortage waits in the ring.
+	shortageQueued atomic.Bool
+	counts         struct{ refused, ended atomic.Int64 }
 }
 
 // New returns a quota of that many bytes.
 func New(limit int64, c clock.Clock) *Quota {
-	return &Quota{limit: limit, clock: c, messages: ring.New[message]("quota", ringCapacity, ring.Block)}
+	return &Quota{limit: limit, clock: c, messages: ring.New[message]("quota", ringCapacity, ring.Refuse)}
 }
 
 // Stats describes a quota. Refused counts the requests for more that failed, Ended
@@ -67,7 +72,8 @@
 // concurrently with itself.
 type Holding struct {
 	quota *Quota
-	end   func()
+	// end is nil once the holding is closed.
+	end   atomic.Pointer[func()]
 	bytes atomic.Int64
 	// listed is set once the reclaimer was told of the holding.
 	listed, closed atomic.Bool
@@ -77,27 +83,38 @@
 }
 
 // Open returns a holding without bytes. end ends what it is held for; it is called at
-// most once, on the goroutine of Run, and must not block.
+// most once, on the goroutine of Run, and must not block. It may close the holding.
 func (q *Quota) Open(end func()) *Holding {
-	h := &Holding{quota: q, end: end}
+	h := &Holding{quota: q}
+	h.end.Store(&end)
 	h.Progress()
 	return h
 }
 
 // Take adds bytes to the holding. It returns false, and adds nothing, if the quota has
-// no room for them.
+// no room for them, or if the reclaimer is too far behind to learn of the holding.
 func (h *Holding) Take(n int64) bool {
 	q, limit := h.quota, h.quota.limit
 	if h.bytes.Load()+n > smallBytes {
 		limit = limit * bulkPercent / 100
-		if !h.listed.Swap(true) {
-			q.push(opened{h})
+		if !h.list() {
+			q.counts.refused.Add(1)
+			return false
 		}
 	}
+	if !h.takeBelow(n, limit) {
+		q.counts.refused.Add(1)
+		q.reportShortage()
+		return false
+	}
+	return !h.closed.Load()
+}
+
+// takeBelow adds bytes to the holding unless more than limit would be in use then.
+func (h *Holding) takeBelow(n, limit int64) bool {
+	q := h.quota
 	for used := q.used.Load(); ; used = q.used.Load() {
 		if used+n > limit {
-			q.counts.refused.Add(1)
-			q.push(shortage{})
 			return false
 		}
 		if q.used.CompareAndSwap(used, used+n) {
@@ -107,7 +124,6 @@
 	h.bytes.Add(n)
 	if h.closed.Load() {
 		h.Close()
-		return false
 	}
 	return true
 }
@@ -116,11 +132,11 @@
 // counts as short if there is no room for them.
 func (h *Holding) Add(n int64) {
 	q := h.quota
-	if h.bytes.Add(n) > smallBytes && !h.listed.Swap(true) {
-		q.push(opened{h})
+	if h.bytes.Add(n) > smallBytes {
+		h.list() // tried again with the next bytes
 	}
 	if q.used.Add(n) > q.limit {
-		q.push(shortage{})
+		q.reportShortage()
 	}
 	if h.closed.Load() {
 		h.Close()
@@ -134,25 +150,46 @@
 // until Progress is called.
 func (h *Holding) Complete() { h.progressedAt.Store(0) }
 
-// Close gives the bytes back. Take fails from then on.
+// Close gives the bytes back. Take fails from then on. The reclaimer forgets the
+// holding when it next looks at it.
 func (h *Holding) Close() {
 	h.closed.Store(true)
+	h.end.Store(nil)
 	h.quota.used.Add(-h.bytes.Swap(0))
-	if h.listed.Load() {
-		h.quota.push(closed{h})
+}
+
+// list tells the reclaimer of the holding. It returns false if the ring is full.
+func (h *Holding) list() bool {
+	if h.listed.Swap(true) {
+		return true
+	}
+	if h.quota.push(opened{h}) {
+		return true
 	}
+	h.listed.Store(false)
+	return false
 }
 
-// push queues a message for the reclaimer. It fails only once the reclaimer has ended.
-func (q *Quota) push(m message) { _ = q.messages.Push(context.Background(), m) }
+// reportShortage makes the reclaimer end stalled holdings. One shortage is queued at a
+// time: the reclaimer looks at all holdings for each.
+func (q *Quota) reportShortage() {
+	if !q.shortageQueued.Swap(true) && !q.push(shortage{}) {
+		q.shortageQueued.Store(false)
+	}
+}
+
+// push queues a message for the reclaimer and returns false if the ring is full. Once
+// the reclaimer has ended, messages are of no use.
+func (q *Quota) push(m message) bool {
+	var full *ring.FullError
+	return !errors.As(q.messages.Push(context.Background(), m), &full)
+}
 
 // message is an input of the reclaimer.
 type message interface{ apply(*reclaimer) }
 
 type opened struct{ holding *Holding }
 
-type closed struct{ holding *Holding }
-
 // shortage says that a holding got no more bytes.
 type shortage struct{}
 
@@ -160,32 +197,54 @@
 type reclaimer struct {
 	*Quota
 	holdings map[*Holding]struct{}
+	// sweepAt is the number of holdings at which those that are closed are forgotten.
+	sweepAt int
 }
 
 // Run ends stalled holdings while the quota is short, until ctx ends.
 func (q *Quota) Run(ctx context.Context) {
 	defer q.messages.Close()
-	r := &reclaimer{Quota: q, holdings: make(map[*Holding]struct{})}
+	r := &reclaimer{Quota: q, holdings: make(map[*Holding]struct{}), sweepAt: ringCapacity}
 	ring.Consume(ctx, q.messages, checkInterval, func(m message) { m.apply(r) }, func() {
+		r.sweep()
 		if r.used.Load() > r.limit {
-			shortage{}.apply(r) // what was held in any case may have stalled since
+			r.endStalled() // what was held in any case may have stalled since
 		}
 	})
 }
 
-func (m opened) apply(r *reclaimer) { r.holdings[m.holding] = struct{}{} }
-
-func (m closed) apply(r *reclaimer) { delete(r.holdings, m.holding) }
+func (m opened) apply(r *reclaimer) {
+	r.holdings[m.holding] = struct{}{}
+	if len(r.holdings) >= r.sweepAt {
+		r.sweep()
+	}
+}
 
 func (shortage) apply(r *reclaimer) {
+	r.shortageQueued.Store(false)
+	r.endStalled()
+}
+
+// sweep forgets the holdings that are closed. The next one comes at the latest when
+// there are twice as many holdings, so that the map stays in proportion to them.
+func (r *reclaimer) sweep() {
+	maps.DeleteFunc(r.holdings, func(h *Holding, _ struct{}) bool { return h.closed.Load() })
+	r.sweepAt = 2*len(r.holdings) + ringCapacity
+}
+
+// endStalled ends stalled holdings until enough is free.
+func (r *reclaimer) endStalled() {
+	r.sweep()
 	candidates := make([]candidate, 0, len(r.holdings))
 	for h := range r.holdings {
 		candidates = append(candidates, candidate{h, clock.Instant(h.progressedAt.Load()), h.bytes.Load()})
 	}
 	for _, c := range chooseStalled(r.clock.Now(), candidates, r.used.Load()-r.limit*reclaimPercent/100) {
 		delete(r.holdings, c.holding)
-		r.counts.ended.Add(1)
-		c.holding.end()
+		if end := c.holding.end.Load(); end != nil {
+			r.counts.ended.Add(1)
+			(*end)()
+		}
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -74,6 +74,47 @@
 	must.True(t, q.Open(func() {}).Take(size))
 }
 
+// Guards against a reclaimer that waits for room in its own ring: the end of a stalled
+// connection closes its holding, on the goroutine of the reclaimer, while refused
+// senders keep the ring full. After that nothing large was taken or closed any more.
+func TestReclaimerDoesNotWaitForItself(t *testing.T) {
+	var now clock.Manual
+	now.Advance(time.Hour)
+	q := New(16<<20, &now)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go q.Run(ctx)
+	const size = 64 << 10
+	for {
+		var h *Holding
+		h = q.Open(func() { h.Close() })
+		if !h.Take(size) {
+			break
+		}
+	}
+	now.Advance(time.Minute)
+	senders := make(chan struct{})
+	for range 64 {
+		go func() {
+			for range 200 {
+				h := q.Open(func() {})
+				h.Take(q.Stats().Limit)
+				h.Close()
+			}
+			senders <- struct{}{}
+		}()
+	}
+	deadline := time.After(20 * time.Second)
+	for range 64 {
+		select {
+		case <-senders:
+		case <-deadline:
+			t.Fatalf("senders wait: %+v, ring %+v", q.Stats(), q.RingStats())
+		}
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return q.Stats().Used <= q.limit/2 }), wait.Timeout(10*time.Second)))
+}
+
 // Guards against the end of more holdings than is needed, and of newer ones first.
 func TestLongestStalledAreChosenFirst(t *testing.T) {
 	now := clock.Instant(time.Hour)
