quota, frontend: a frontend without a quota needs no reclaimer

Callers would see: a frontend that is made without a quota, as that of the project's own node, answers no more after some hundred bodies over 32 KB.

Cause: without a quota of its own the frontend made one whose reclaimer nobody ran. Each larger body told it of its begin and its end; the ring blocked at 1024.

Change: quota.Unlimited counts and tells nobody. TakeSpare and Release serve what may as well be done later; answers that are made ahead of their turn come to use them.

Evidence: TestManyBodiesWithoutAQuota did not end within 60 s on the code before.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -107,7 +107,7 @@
 		c.MaxBodyBytes = math.MaxInt64
 	}
 	if c.Quota == nil {
-		c.Quota = quota.New(math.MaxInt64/128, clock.NewReal())
+		c.Quota = quota.Unlimited(clock.NewReal())
 	}
 	return c
 }
--- a/frontend/hold_test.go
+++ b/frontend/hold_test.go
@@ -176,3 +176,27 @@
 		mustGiveBack(t, q)
 	})
 }
+
+// Guards against a frontend without a quota that answers no more after some hundred
+// larger bodies: each told a reclaimer of its begin and end that nobody had started.
+func TestManyBodiesWithoutAQuota(t *testing.T) {
+	f, err := frontend.New(frontend.Config{Addr: "127.0.0.1:0", Handler: core.HandlerFunc(func(_ context.Context, req *core.Request) (*core.Response, error) {
+		_, err := io.Copy(io.Discard, req.Body)
+		return &core.Response{Status: http.StatusOK, Body: core.NoBody}, err
+	})})
+	must.NoError(t, err)
+	f.Start()
+	t.Cleanup(func() { must.NoError(t, f.Close()) })
+	c, err := net.Dial("tcp", f.Addr())
+	must.NoError(t, err)
+	defer c.Close()
+	must.NoError(t, c.SetDeadline(time.Now().Add(30*time.Second)))
+	reader, body := bufio.NewReader(c), strings.Repeat("x", 40_000)
+	for i := range 1100 {
+		_, err := io.WriteString(c, holdHead("Content-Length: 40000\r\n\r\n")+body)
+		must.NoError(t, err)
+		resp, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err, must.Sprintf("body %d", i))
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,9 @@
 	// ringCapacity has room for the holdings that begin within the time in which the
 	// reclaimer gets no processor time.
 	ringCapacity = 1024
+	// sparePercent is the part of the limit beyond which nothing is taken that may
+	// just as well wait.
+	sparePercent = 50
 )
 
 // Quota is the bound. Its methods may be called from any goroutine. None of them waits
@@ -45,7 +49,7 @@
 	limit    int64
 	clock    clock.Clock
 	used     atomic.Int64
-	messages *ring.Ring[message]
+	messages *ring.Ring[message] // nil if there is no limit
 	// shortageQueued is set while a shortage waits in the ring.
 	shortageQueued atomic.Bool
 	counts         struct{ refused, ended atomic.Int64 }
@@ -56,6 +60,10 @@
 	return &Quota{limit: limit, clock: c, messages: ring.New[message]("quota", ringCapacity, ring.Refuse)}
 }
 
+// Unlimited returns a quota without a limit, which counts what is held. It needs no
+// Run.
+func Unlimited(c clock.Clock) *Quota { return &Quota{limit: math.MaxInt64 / 128, clock: c} }
+
 // Stats describes a quota. Refused counts the requests for more that failed, Ended
 // the holdings that were ended.
 type Stats struct{ Limit, Used, Refused, Ended int64 }
@@ -66,7 +74,12 @@
 }
 
 // RingStats returns the counters of the ring to the reclaimer.
-func (q *Quota) RingStats() ring.Stats { return q.messages.Stats() }
+func (q *Quota) RingStats() ring.Stats {
+	if q.messages == nil {
+		return ring.Stats{}
+	}
+	return q.messages.Stats()
+}
 
 // Holding is what the process holds for one sender or reader. Take must not be called
 // concurrently with itself.
@@ -110,6 +123,12 @@
 	return !h.closed.Load()
 }
 
+// TakeSpare adds bytes for something that may as well be done later. It returns false,
+// and adds nothing, if half of the quota is in use; nothing is ended for its sake.
+func (h *Holding) TakeSpare(n int64) bool {
+	return h.list() && h.takeBelow(n, h.quota.limit*sparePercent/100) && !h.closed.Load()
+}
+
 // takeBelow adds bytes to the holding unless more than limit would be in use then.
 func (h *Holding) takeBelow(n, limit int64) bool {
 	q := h.quota
@@ -143,6 +162,12 @@
 	}
 }
 
+// Release gives a part of the bytes back.
+func (h *Holding) Release(n int64) {
+	h.bytes.Add(-n)
+	h.quota.used.Add(-n)
+}
+
 // Progress records that the sender has sent something.
 func (h *Holding) Progress() { h.progressedAt.Store(int64(h.quota.clock.Now())) }
 
@@ -160,7 +185,7 @@
 
 // list tells the reclaimer of the holding. It returns false if the ring is full.
 func (h *Holding) list() bool {
-	if h.listed.Swap(true) {
+	if h.quota.messages == nil || h.listed.Swap(true) {
 		return true
 	}
 	if h.quota.push(opened{h}) {
@@ -182,7 +207,7 @@
 // the reclaimer has ended, messages are of no use.
 func (q *Quota) push(m message) bool {
 	var full *ring.FullError
-	return !errors.As(q.messages.Push(context.Background(), m), &full)
+	return q.messages == nil || !errors.As(q.messages.Push(context.Background(), m), &full)
 }
 
 // message is an input of the reclaimer.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -115,6 +115,37 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return q.Stats().Used <= q.limit/2 }), wait.Timeout(10*time.Second)))
 }
 
+// Guards against a quota without a limit that waits, after some thousand bodies, for a
+// reclaimer that nobody has started.
+func TestUnlimitedQuotaNeedsNoReclaimer(t *testing.T) {
+	q := Unlimited(&clock.Manual{})
+	for range 4 * ringCapacity {
+		h := q.Open(func() {})
+		must.True(t, h.Take(1<<20))
+		h.Add(1 << 20)
+		h.Close()
+	}
+	must.Eq(t, 0, q.Stats().Used)
+}
+
+// Guards against holdings that the reclaimer keeps after their end, and against
+// speculative work that takes the room of requests.
+func TestSpareRoomAndClosedHoldings(t *testing.T) {
+	q := New(1<<20, &clock.Manual{})
+	r := &reclaimer{Quota: q, holdings: map[*Holding]struct{}{}, sweepAt: ringCapacity}
+	h := q.Open(func() { t.Error("nothing is ended for spare room") })
+	must.True(t, h.TakeSpare(512<<10))
+	must.False(t, q.Open(func() {}).TakeSpare(1))
+	h.Release(12 << 10)
+	must.Eq(t, 500<<10, q.Stats().Used)
+	for range 8 * ringCapacity {
+		closed := q.Open(func() {})
+		closed.Close()
+		opened{closed}.apply(r)
+	}
+	must.LessEq(t, 2*ringCapacity, len(r.holdings))
+}
+
 // Guards against the end of more holdings than is needed, and of newer ones first.
 func TestLongestStalledAreChosenFirst(t *testing.T) {
 	now := clock.Instant(time.Hour)
