frontend: refuse a head without room as not run

Callers saw: 400 from the HTTP library, without a time to come back, for a proper request while stalled bodies held the quota.

Cause: beyond 4 KiB, what is read before a request is served counts as its head, which includes the beginning of a body that came with it. Without room for that the read failed, and the library answers a failed read of a head with 400.

Change: the connection answers such a request itself, as refused not run with Retry-After, reads what the caller still sends, within the limits that hold after other refusals, and ends.

Evidence: TestHeadsBeyondTheQuotaAreRefusedAsNotRun fails on the code before ("400 Bad Request").

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"marjoramshore.example/core"
 	"marjoramshore.example/quota"
 )
 
@@ -35,6 +36,9 @@
 	head headMeter
 	// headHolding is what is held of heads, or nil while they are short.
 	headHolding atomic.Pointer[quota.Holding]
+	// refused is set once a request was refused before its head was read. Nothing
+	// else is written then.
+	refused atomic.Bool
 }
 
 // headMeter counts the bytes that are read for the heads of requests.
@@ -118,6 +122,29 @@
 	c.idleSince.Store(time.Now().UnixNano())
 }
 
+// refuseHead answers a request whose head there is no room to read, as not run.
+// Without it hertz would answer 400, which tells a caller not to come back. It runs on
+// the goroutine that reads the connection, before anything of the request is served.
+func (c *callerConn) refuseHead() {
+	cfg := c.listener.cfg
+	if cfg.TLS != nil || c.refused.Swap(true) {
+		return
+	}
+	now := time.Now()
+	r := cfg.Dialect.EncodeFailure(&core.Request{Body: core.NoBody, ReceivedAt: now},
+		&core.Error{Code: core.CodeOverloaded, Detail: "the node has no room for the request", RetryAfter: quotaRetryAfter})
+	h := responseHead{status: r.Status, length: int64(len(r.Body)), fields: r.Fields, date: now, isHTTP11: true, closeConn: true}
+	h.chooseFraming()
+	// The errors mean that the caller has left.
+	_ = c.Conn.SetDeadline(now.Add(lingerTimeout))
+	n, err := c.Conn.Write(append(h.encode(), r.Body...))
+	cfg.Meter.CountWritten(n)
+	if err == nil {
+		c.closeWrite()
+		discardUpTo(c.Conn, maxLingerBytes)
+	}
+}
+
 // FramingTooLargeError is the error for a chunked body with more bytes between
 // its data than Config.MaxHeaderBytes.
 type FramingTooLargeError struct{}
@@ -159,6 +186,9 @@
 		c.listener.cfg.Meter.CountRead(n)
 	}
 	if headErr := c.countHead(n); headErr != nil {
+		if _, noRoom := headErr.(QuotaError); noRoom && !c.head.served {
+			c.refuseHead()
+		}
 		return 0, headErr
 	}
 	return n, err
@@ -166,6 +196,9 @@
 
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Write(p)
 	c.listener.cfg.Meter.CountWritten(n)
 	return n, err
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -236,13 +237,17 @@
 		x.conn.closeWrite()
 	}
 	_ = hertzConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	buf := make([]byte, 8<<10)
-	for remaining := maxLingerBytes; remaining > 0; {
-		n, err := hertzConn.Read(buf)
+	discardUpTo(hertzConn, maxLingerBytes)
+	_ = x.conn.Close()
+}
+
+// discardUpTo reads and discards at least n bytes, unless r ends or fails before.
+func discardUpTo(r io.Reader, n int) {
+	for buf := make([]byte, 8<<10); n > 0; {
+		read, err := r.Read(buf)
 		if err != nil {
-			break
+			return
 		}
-		remaining -= n
+		n -= read
 	}
-	_ = x.conn.Close()
 }
--- a/frontend/hold_test.go
+++ b/frontend/hold_test.go
@@ -99,6 +99,28 @@
 	mustGiveBack(t, q)
 }
 
+// Guards against the answer 400, which tells a caller not to come back, to a proper
+// request that is refused because the node has no room for its head.
+func TestHeadsBeyondTheQuotaAreRefusedAsNotRun(t *testing.T) {
+	f, q := startHolding(t)
+	for range holdLimit / (32 << 10) {
+		must.True(t, q.Open(func() {}).Take(32<<10))
+	}
+	for range 20 {
+		c, err := net.Dial("tcp", f.Addr())
+		must.NoError(t, err)
+		defer c.Close()
+		_, _ = io.WriteString(c, holdHead("X-Fill: "+strings.Repeat("x", 6000)+"\r\nContent-Length: 40000\r\n\r\n")+strings.Repeat("x", 40_000))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		must.NoError(t, err)
+		must.Eq(t, string(core.OutcomeRefusedNotRun), resp.Header.Get(frontend.HeaderOutcome), must.Sprint(resp.Status))
+		must.NotEq(t, "", resp.Header.Get("Retry-After"))
+		must.True(t, resp.Close)
+		_, err = io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+	}
+}
+
 // Guards against answers that callers do not read and that keep others from being
 // served, or the process from its memory.
 func TestCallersThatDoNotReadAreCutOff(t *testing.T) {
