frontend: keep and count each answer that waits for its turn

An answer over 64 KB behind a slow one broke off when its route's timeout passed, and the connection was reset with eight finished answers behind it.

Their bodies stayed open under the deadline of their request, with what the process had buffered of them. Weighed: a bound of the other node (refuted: answers of 60 KB pass the same way and are whole), the reclaimer (refuted: held_ended stays 0).

Change: a request is served ahead only with 256 KiB reserved for its answer in the quota, and only while less than half of that is in use; else it waits on the connection until its turn. An answer is read and kept as soon as it comes, also without a known length; a larger one too while there is room. One that can't be kept is answered with a failure if its deadline passes before its turn, and ends the reading ahead; those behind it are sent.

TestNothingFollowsAnAnswerThatBrokeOff: its answer of 100 KB is kept now, so that its end is known before its turn, which the test checks; its second part uses an answer of 2 MiB, which still breaks off in its turn.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -62,9 +62,12 @@
 	rw.writeResponse(r.Status, r.Length, r.Body)
 }
 
-// hold counts the response as held until the returned holding is closed. A caller that
-// stops reading is cut off when the quota is short.
+// hold counts the response as held, unless it is already, until the returned holding is
+// closed. A caller that stops reading is cut off when the quota is short.
 func (rw *responseWriter) hold(length int64) *quota.Holding {
+	if rw.holding != nil {
+		return rw.holding
+	}
 	if length < 0 {
 		length = maxCopyBufferBytes
 	}
--- a/frontend/pipeline.go
+++ b/frontend/pipeline.go
@@ -18,12 +18,13 @@
 	// maxAhead bounds the requests of a connection that are served ahead of their
 	// turn. Further ones are not read.
 	maxAhead = 16
-	// maxAheadBytes bounds the bodies of answers that wait for their turn, beyond
-	// which no further request is read.
+	// maxAheadBytes bounds the bodies of answers that wait for their turn on one
+	// connection, beyond which no further request is read.
 	maxAheadBytes = 1 << 20
-	// maxAheadBody bounds the bodies that are read before the turn of their answer,
-	// so that the connections on which they come are free again.
-	maxAheadBody = 64 << 10
+	// aheadReserve is the room that is taken for the answer to a request before it
+	// is served ahead of its turn. An answer up to that size is read and kept as soon
+	// as it comes, whatever else the process holds.
+	aheadReserve = 256 << 10
 	// maxAheadRun bounds the requests that are read ahead one after the other.
 	// hertz then reads the next one, and releases the buffers of all of them.
 	maxAheadRun = 256
@@ -47,6 +48,8 @@
 	// connection owns both.
 	inTurn    bool
 	readCount int
+	// unkept is set once an answer could not be kept until its turn.
+	unkept atomic.Bool
 	// ahead is nil until the first request is read ahead.
 	ahead atomic.Pointer[aheadRequests]
 	// waiting counts the requests that were read ahead and are not answered, and
@@ -72,8 +75,14 @@
 	resp   *core.Response
 	err    error
 	done   chan struct{}
-	// held is what is held of the answer until its turn.
-	held *quota.Holding
+	// held is what is held of the answer until it is sent, and heldBytes the part of
+	// it that counts against maxAheadBytes.
+	held      *quota.Holding
+	heldBytes int64
+	// servedCtx ends with the deadline of the request. The body of an answer that is
+	// not kept ends with it.
+	servedCtx context.Context
+	kept      bool
 }
 
 // init makes p ready to serve what follows the first request. cancelFirst ends
@@ -129,11 +138,11 @@
 // to be read. A node that stops reads no more.
 func (p *pipeline) mayReadAhead() bool {
 	first := &p.first.rc.Request.Header
-	return first.IsHTTP11() && !first.ConnectionClose() && p.waiting.Load() < maxAhead && p.waitingBytes.Load() < maxAheadBytes && p.readCount < maxAheadRun && !p.frontend.draining.Load()
+	return first.IsHTTP11() && !first.ConnectionClose() && p.waiting.Load() < maxAhead && p.waitingBytes.Load() < maxAheadBytes && p.readCount < maxAheadRun && !p.unkept.Load() && !p.frontend.draining.Load()
 }
 
-// newExchange returns the exchange of a request that may run ahead of its turn, or
-// nil.
+// newExchange returns the exchange of a request that may run ahead of its turn, with
+// room for its answer, or nil.
 func (p *pipeline) newExchange(h *protocol.RequestHeader) *aheadExchange {
 	f := p.frontend
 	if !h.IsHTTP11() || h.ConnectionClose() || !h.IsGet() && !h.IsHead() || !hasUnambiguousLength(h.RawHeaders()) || announcedLength(h) != 0 {
@@ -147,6 +156,10 @@
 	x.response = &responseWriter{exchange: x}
 	held := f.cfg.Quota.Open(x.conn.reset)
 	held.Complete() // the answers before it are waited for
+	if !held.TakeSpare(aheadReserve) {
+		held.Close()
+		return nil
+	}
 	return &aheadExchange{exchange: x, held: held, done: make(chan struct{})}
 }
 
@@ -179,19 +192,63 @@
 	}
 }
 
-// serve passes a request to the Handler. The context of the request lives until
-// its answer has been sent, since a longer body is read only then.
+// serve passes a request to the Handler, and keeps its answer if there is room. The
+// context of the request lives until its answer has been sent, since the body of one
+// that is not kept is read only then.
 func (p *pipeline) serve(x *aheadExchange) {
 	defer close(x.done)
-	var ctx context.Context
-	ctx, x.cancel = withDeadline(x.ctx, x.req.Deadline)
-	x.resp, x.err = p.frontend.cfg.Handler.Serve(ctx, x.req)
-	if x.resp == nil || x.resp.Length < 0 || x.resp.Length > maxAheadBody {
-		return
+	x.servedCtx, x.cancel = withDeadline(x.ctx, x.req.Deadline)
+	x.resp, x.err = p.frontend.cfg.Handler.Serve(x.servedCtx, x.req)
+	if x.resp != nil {
+		x.err = p.keepAnswer(x)
+	}
+	x.held.Release(aheadReserve - min(aheadReserve, x.heldBytes))
+	p.waitingBytes.Add(x.heldBytes)
+}
+
+// keepAnswer reads the answer to its end, so that the connection on which it comes is
+// free again, and no deadline ends it before its turn. If it is too large for the room
+// that is left, its body stays open until then.
+func (p *pipeline) keepAnswer(x *aheadExchange) error {
+	length := x.resp.Length
+	switch {
+	case x.isHead: // has no body, whatever the length says
+		x.kept = true
+		return nil
+	case length < 0:
+		return p.keepUnmeasured(x)
+	case length > maxAheadBytes, length > aheadReserve && !x.held.TakeSpare(length-aheadReserve):
+		x.heldBytes = maxCopyBufferBytes // the buffers of its connection
+		p.unkept.Store(true)
+		return nil
 	}
-	p.waitingBytes.Add(x.resp.Length)
-	x.held.Add(x.resp.Length)
-	x.err = x.resp.ReadAll()
+	x.heldBytes, x.kept = length, true
+	return x.resp.ReadAll()
+}
+
+// keepUnmeasured reads an answer of unknown length up to the reserve.
+func (p *pipeline) keepUnmeasured(x *aheadExchange) error {
+	body := x.resp.Body
+	var buf bytes.Buffer
+	_, err := buf.ReadFrom(io.LimitReader(body, aheadReserve))
+	x.heldBytes = int64(buf.Len())
+	if err != nil {
+		_ = body.Close()
+		return core.Wrap(core.CodeUnknown, err, "the answer was cut off")
+	}
+	if buf.Len() < aheadReserve {
+		x.kept, x.resp.Body = true, io.NopCloser(&buf)
+		return body.Close()
+	}
+	x.resp.Body = prefixedBody{io.MultiReader(&buf, body), body}
+	p.unkept.Store(true)
+	return nil
+}
+
+// prefixedBody is a body of which a part has been read.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
 }
 
 // next takes the request whose turn it is, or returns nil if none was read ahead.
@@ -212,9 +269,7 @@
 func (p *pipeline) endTurn(x *aheadExchange) {
 	p.waiting.Add(-1)
 	x.held.Close()
-	if x.resp != nil && x.resp.Length >= 0 && x.resp.Length <= maxAheadBody {
-		p.waitingBytes.Add(-x.resp.Length)
-	}
+	p.waitingBytes.Add(-x.heldBytes)
 	if x.cancel != nil {
 		x.cancel()
 	}
@@ -274,7 +329,13 @@
 		x.dropResponse(x.resp, WhileServed)
 	case x.err != nil:
 		x.respondWithFailure(x.err)
+	case !x.kept && x.servedCtx.Err() != nil:
+		// Its body can't be read to the end any more; the answers behind it can
+		// still be sent.
+		_ = x.resp.Body.Close()
+		x.respondWithFailure(core.Fail(core.CodeDeadline, "deadline passed before the turn of a large answer"))
 	default:
+		x.response.holding = x.held
 		x.response.writeBackendResponse(x.resp)
 	}
 	if x.response.truncated {
--- a/frontend/pipeline_test.go
+++ b/frontend/pipeline_test.go
@@ -16,8 +16,10 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+	"marjoramshore.example/clock"
 	"marjoramshore.example/core"
 	"marjoramshore.example/frontend"
+	"marjoramshore.example/quota"
 )
 
 // pipelineHandler answers each request with its path. Requests whose path begins
@@ -60,7 +62,13 @@
 		length = 100 << 10
 		body = contextReader{ctx, io.LimitReader(strings.NewReader(strings.Repeat("x", int(length))), length)}
 	}
+	if strings.Contains(req.Path, "/huge") {
+		length = 2 << 20 // more than is kept before its turn
+		body = contextReader{ctx, strings.NewReader(strings.Repeat("x", int(length)))}
+	}
 	switch {
+	case strings.HasPrefix(req.Path, "/unmeasured"):
+		return &core.Response{Status: 200, Length: core.UnknownLength, Body: io.NopCloser(body)}, nil
 	case strings.HasPrefix(req.Path, "/refuse"):
 		return nil, &core.Error{Code: core.CodeOverloaded, Detail: "full", RetryAfter: time.Second}
 	case strings.HasPrefix(req.Path, "/cut"):
@@ -185,6 +193,68 @@
 	c.expect(strings.Repeat("x", 100<<10))
 }
 
+// withDeadline adds a deadline, in milliseconds, to a request.
+func withDeadline(request string, ms int) string {
+	return strings.Replace(request, "\r\n\r\n", fmt.Sprintf("\r\n%s: %d\r\n\r\n", frontend.HeaderDeadline, ms), 1)
+}
+
+// Guards against answers that are lost although they were ready in time: one that
+// waits for its turn breaks off when its own deadline passes, and takes the connection
+// and those behind it along. One that is too large to be kept fails by itself.
+func TestReadyAnswersOutliveTheirDeadline(t *testing.T) {
+	for name, want := range map[string]string{
+		"/2": "/2", "/long/2": strings.Repeat("x", 100<<10), "/unmeasured/2": "/unmeasured/2",
+		"/unmeasured/long/2": strings.Repeat("x", 100<<10), "/huge/2": "", "/unmeasured/huge/2": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newPipelineHandler()
+			c := dialPipeline(t, startPipelineFrontend(t, h))
+			c.send(pipelinedRequest("GET", "/hold/1", "") + withDeadline(pipelinedRequest("GET", name, ""), 300) + withDeadline(pipelinedRequest("GET", "/3", ""), 300))
+			h.waitStarted(t, 2)
+			time.Sleep(500 * time.Millisecond)
+			close(h.release)
+			c.expect("/hold/1")
+			if want != "" {
+				c.expect(want)
+			} else {
+				resp, _, err := c.read()
+				must.NoError(t, err)
+				must.Eq(t, string(core.OutcomeUnknown), resp.Header.Get(frontend.HeaderOutcome))
+			}
+			c.expect("/3")
+		})
+	}
+}
+
+// Guards against requests that are served ahead of their turn without room for their
+// answers: the process then holds more than its limit, or loses answers.
+func TestRequestsAheadNeedRoomForTheirAnswers(t *testing.T) {
+	q := quota.New(1<<20, clock.NewReal()) // room for two, since half is for other uses
+	go q.Run(t.Context())
+	h := newPipelineHandler()
+	f, err := frontend.New(frontend.Config{Addr: "127.0.0.1:0", Handler: h, Quota: q, MayRunAhead: func(*core.Request) bool { return true }})
+	must.NoError(t, err)
+	f.Start()
+	t.Cleanup(func() { _ = f.Close() })
+	c := dialPipeline(t, f)
+	c.send(pipelinedRequest("GET", "/hold/1", ""))
+	for i := range 10 {
+		c.send(pipelinedRequest("GET", fmt.Sprintf("/hold/long/%d", i), ""))
+	}
+	h.waitStarted(t, 3)
+	time.Sleep(50 * time.Millisecond)
+	must.Eq(t, 3, h.started.Load())
+	must.Eq(t, 512<<10, q.Stats().Used)
+	close(h.release)
+	c.expect("/hold/1")
+	for range 10 {
+		c.expect(strings.Repeat("x", 100<<10))
+		must.LessEq(t, q.Stats().Limit, q.Stats().Used)
+	}
+	must.Eq(t, 0, q.Stats().Refused)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return q.Stats().Used == 0 }), wait.Timeout(5*time.Second)))
+}
+
 // Guards against a request that runs before the one in front of it is answered,
 // although it may not run twice, has a body or cannot be parsed.
 func TestRequestsThatMustWaitForTheirTurn(t *testing.T) {
@@ -288,6 +358,17 @@
 	h.waitStarted(t, 3)
 	close(h.release)
 	c.expect("/hold/1")
+	resp, _, err = c.read()
+	must.NoError(t, err)
+	must.Eq(t, 502, resp.StatusCode) // an answer that is kept is known as well
+	c.expect("/3")
+
+	h = newPipelineHandler()
+	c = dialPipeline(t, startPipelineFrontend(t, h))
+	c.send(pipelinedRequest("GET", "/hold/1", "") + pipelinedRequest("GET", "/cut/huge/2", "") + pipelinedRequest("GET", "/3", ""))
+	h.waitStarted(t, 3)
+	close(h.release)
+	c.expect("/hold/1")
 	_, body, err := c.read()
 	must.Error(t, err)
 	must.StrNotContains(t, body, "/3")
