core, gate: pass the target of a request on byte for byte

Weighed: hertz, which decodes paths for its routes (refuted: the frontend passes RequestURI on, and a target without the bar arrives whole).

Change: TargetURL gives a URL that writes the target as it came. Targets that can't be passed on so, and methods that are no tokens, are refused with 400 before anything is passed on: controls, spaces, "#", invalid escapes, and two leading slashes before a byte that URIs have encoded.

--- a/frontend/parse.go
+++ b/frontend/parse.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"net/textproto"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -112,15 +111,11 @@
 }
 
 func (p *headParser) parseTarget(h core.RequestHead) {
-	if !httpguts.ValidHeaderFieldName(h.Method) || len(h.Method) > maxNameBytes {
-		p.reject("invalid method")
+	if err := core.CheckRequestLine(h.Method, h.Path); err != nil {
+		p.reject(err.Detail)
 	}
-	if !strings.HasPrefix(h.Path, "/") {
-		p.reject("the target must be an absolute path")
-		return
-	}
-	if _, err := url.ParseRequestURI(h.Path); err != nil || !httpguts.ValidHeaderFieldValue(h.Path) || strings.ContainsAny(h.Path, " \t") {
-		p.reject("malformed path")
+	if len(h.Method) > maxNameBytes {
+		p.reject("method too long")
 	}
 }
 
--- a/gate/encode.go
+++ b/gate/encode.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -33,9 +32,9 @@
 // buildRequest builds the HTTP request without the fields that depend on the
 // moment of sending. A negative length stands for an unknown one.
 func (g *Gate) buildRequest(req *core.Request, body io.Reader, length int64) (*http.Request, error) {
-	target, err := url.ParseRequestURI(req.Path)
+	target, err := core.TargetURL(req.Path)
 	if err != nil {
-		return nil, core.Wrap(core.CodeInvalid, err, "parse request path")
+		return nil, err
 	}
 	h := make(http.Header, len(req.Header)+12)
 	// A nil value keeps net/http from adding a User-Agent of its own.
