frontend: read nothing behind a head that HTTP forbids

Callers saw: after a 400 for a head with a NUL or a colon in a field's name, or without a Host field, the connection was kept, and the bytes behind the head were served as the next request.

Cause: only an ambiguous body length ended the connection. Other faults of a head were left to the dialects, which can't end it, and some to hertz, which answers them before the frontend is called. hertz also keeps only the last of repeated Host, Content-Type and User-Agent fields.

Change: the frontend checks heads itself, as a middleware, so that it is called for all of them: method, target, names and values of fields, Host, and repeated fields of which only one would be passed on. The connection ends with the refusal (RFC 9112, sections 2.2 and 11.2).

Evidence: TestNothingIsReadBehindARefusedHead fails on the code before.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -198,7 +198,8 @@
 	f := &Frontend{cfg: cfg, watchPool: pool, aheadPool: ahead, serveEnded: make(chan struct{})}
 	f.listener = newListener(ln, &f.cfg)
 	f.hertz = server.New(f.hertzOptions()...)
-	f.hertz.NoRoute(f.handle)
+	// As a middleware, since hertz answers some heads itself without a route.
+	f.hertz.Use(f.handle)
 	return f, nil
 }
 
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -29,8 +29,8 @@
 	length int64
 	// isHTTP11 and isHead describe the request.
 	isHTTP11, isHead bool
-	// framingValid is set once checkFraming has found the end of the request to
-	// be unambiguous.
+	// framingValid is set once checkFraming has found the head to be valid and the
+	// end of the request to be unambiguous.
 	framingValid bool
 }
 
@@ -48,9 +48,10 @@
 	x.response = newResponseWriter(x)
 	defer f.inFlight.Add(-1)
 	inFlight := f.inFlight.Add(1)
-	req, err := f.cfg.Dialect.ParseHead(copyHead(&rc.Request.Header), x.started)
+	head := copyHead(&rc.Request.Header)
+	req, err := f.cfg.Dialect.ParseHead(head, x.started)
 	x.req = req
-	if framingErr := x.checkFraming(); err == nil {
+	if framingErr := x.checkFraming(head); framingErr != nil {
 		err = framingErr
 	}
 	switch {
--- a/frontend/pipeline.go
+++ b/frontend/pipeline.go
@@ -145,12 +145,16 @@
 // room for its answer, or nil.
 func (p *pipeline) newExchange(h *protocol.RequestHeader) *aheadExchange {
 	f := p.frontend
-	if !h.IsHTTP11() || h.ConnectionClose() || !h.IsGet() && !h.IsHead() || !hasUnambiguousLength(h.RawHeaders()) || announcedLength(h) != 0 {
+	if !h.IsHTTP11() || h.ConnectionClose() || !h.IsGet() && !h.IsHead() || announcedLength(h) != 0 {
 		return nil
 	}
 	x := &exchange{frontend: f, rc: p.first.rc, conn: p.first.conn, started: time.Now(), isHTTP11: true, isHead: h.IsHead(), framingValid: true, leader: p.first}
+	head := copyHead(h)
+	if checkHead(head, h) != nil {
+		return nil
+	}
 	var err error
-	if x.req, err = f.cfg.Dialect.ParseHead(copyHead(h), x.started); err != nil || !f.cfg.MayRunAhead(x.req) {
+	if x.req, err = f.cfg.Dialect.ParseHead(head, x.started); err != nil || !f.cfg.MayRunAhead(x.req) {
 		return nil
 	}
 	x.response = &responseWriter{exchange: x}
