frontend: no head ends the process

Cause: for a request without a host, hertz splits the target at its scheme and skips two slashes after the colon that need not be there (URI.splitHostURI), before it calls the frontend.

Change: such a head is refused with 400 and ends its connection. A panic after the frontend was called still ends the process: its state is not known then.

Weighed: a server factory of our own, without hertz's routes. It takes the parser out of the path, but must copy some fifteen options of the library by hand.

Evidence: TestTargetsThatTheLibraryCannotParse panics on the code before.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -200,6 +200,7 @@
 	f.hertz = server.New(f.hertzOptions()...)
 	// As a middleware, since hertz answers some heads itself without a route.
 	f.hertz.Use(f.handle)
+	f.hertz.PanicHandler = f.handlePanic
 	return f, nil
 }
 
--- a/frontend/handle.go
+++ b/frontend/handle.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -70,6 +71,22 @@
 	x.finish()
 }
 
+// handlePanic refuses a request whose target made hertz panic before it called handle,
+// such as "a:" without a Host field. Other panics go on.
+func (f *Frontend) handlePanic(_ context.Context, rc *app.RequestContext) {
+	if rc.Response.GetHijackWriter() != nil {
+		panic(ExchangePanicError{})
+	}
+	f.counts.badRequests.Add(1)
+	rc.SetStatusCode(http.StatusBadRequest)
+	rc.SetConnectionClose()
+}
+
+// ExchangePanicError follows the panic of an exchange, which ends the process.
+type ExchangePanicError struct{}
+
+func (ExchangePanicError) Error() string { return "panic while a request was served" }
+
 // serve passes the request to the Handler and sends its response.
 func (x *exchange) serve(ctx context.Context) {
 	ctx, cancel := withDeadline(ctx, x.req.Deadline)
--- a/frontend/outcome_test.go
+++ b/frontend/outcome_test.go
@@ -313,3 +313,29 @@
 		must.Error(t, err)
 	}
 }
+
+// Guards against a head that ends the process, and all requests that it serves: the
+// HTTP library panicked on a target like "a:" without a Host field.
+func TestTargetsThatTheLibraryCannotParse(t *testing.T) {
+	f, _ := newFrontend(t, frontend.Config{Handler: core.HandlerFunc(func(context.Context, *core.Request) (*core.Response, error) {
+		return &core.Response{Status: 200, Body: core.NoBody}, nil
+	})})
+	for _, head := range []string{"GET a: HTTP/1.1\r\n\r\n", "GET p:x HTTP/1.0\r\n\r\n", "CONNECT a: HTTP/1.1\r\nHost:\r\n\r\n", "GET a:/ HTTP/1.1\r\n\r\n"} {
+		c, err := net.Dial("tcp", f.Addr())
+		must.NoError(t, err)
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
+		proper := "GET /x HTTP/1.1\r\nHost: x\r\n" + frontend.HeaderService + ": s\r\n" + frontend.HeaderKey + ": k\r\n\r\n"
+		_, err = io.WriteString(c, proper+head+proper)
+		must.NoError(t, err)
+		r := bufio.NewReader(c)
+		for _, status := range []int{200, 400} {
+			resp, err := http.ReadResponse(r, nil)
+			must.NoError(t, err, must.Sprint(head))
+			must.Eq(t, status, resp.StatusCode, must.Sprint(head))
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		_, err = http.ReadResponse(r, nil)
+		must.Error(t, err, must.Sprint("what stands behind the head is not served"))
+	}
+}
