sidecar: a stopping node announces the end of kept connections

Cause: while a stopping node waits for callers to go elsewhere, it answered on kept connections as always, so that all of them were open and in use when it closed them.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -96,7 +96,7 @@
 
 func (rw *responseWriter) mustCloseConn() bool {
 	x := rw.exchange
-	mustClose := x.rc.Request.Header.ConnectionClose() || x.frontend.draining.Load() || x.hasUnreadBody()
+	mustClose := x.rc.Request.Header.ConnectionClose() || x.frontend.draining.Load() || x.frontend.announcing.Load() || x.hasUnreadBody()
 	return mustClose && x.endPipeline()
 }
 
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -170,6 +170,8 @@
 	serveEnded chan struct{} // closed when hertz has stopped serving
 	started    atomic.Bool
 	draining   atomic.Bool
+	// announcing is set once answers announce the end of their connections.
+	announcing atomic.Bool
 	inFlight   atomic.Int64
 	counts     counters
 }
@@ -245,6 +247,11 @@
 	}()
 }
 
+// AnnounceClose makes each answer from now on end its connection, and say so, while new
+// connections and requests are still served. Fewer requests then cross the end of an
+// idle connection when Shutdown is called.
+func (f *Frontend) AnnounceClose() { f.announcing.Store(true) }
+
 // Shutdown refuses new exchanges, closes idle connections and waits until every
 // running exchange has ended. It returns an error if ctx ends first. It aborts
 // no exchange.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -48,6 +48,7 @@
 	n.log.WithFields(log.Fields{"grace_ms": grace.Milliseconds()}).Info("node is stopping")
 	n.ready.Store(false)
 	n.stopping.Store(true)
+	n.outbound.AnnounceClose()
 	n.nodes.UpdateSelf(func(e *fleet.Entry) { e.Stopping = true })
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
