sidecar: say what is not served in a test of calls

TestRepeatedAnswersToCallsGiveNoKeyTwoHolders told only that a request was not served or a key not held once. It now says which, with the answer.

--- a/sidecar/direct_test.go
+++ b/sidecar/direct_test.go
@@ -63,7 +63,7 @@
 	f.waitFor("the keys of the leaving backend server are granted to the others", 8*time.Second, func() bool {
 		return f.eachKeyHeldOnce("prices") && len(f.backends[0].KeyRanges()) == 0
 	})
-	must.True(t, f.servesAllKeys())
+	must.Eq(t, "", f.unservedKey())
 }
 
 // Guards against keys that stay with a node's former process: the next one must
@@ -83,14 +83,24 @@
 }
 
 // servesAllKeys reports whether requests for keys all over the key space are served.
-func (f *testFleet) servesAllKeys() bool {
+func (f *testFleet) servesAllKeys() bool { return f.unservedKey() == "" }
+
+// unservedKey describes a key for which a request is not served, or that is not held
+// once. It returns "" if there is none.
+func (f *testFleet) unservedKey() string {
 	for i := range 16 {
-		resp, _, err := f.send(1, "GET", "/look/x", fmt.Sprintf("s%d-%d", i, time.Now().UnixNano()), i*4096, "")
-		if err != nil || resp.StatusCode != 200 {
-			return false
+		resp, body, err := f.send(1, "GET", "/look/x", fmt.Sprintf("s%d-%d", i, time.Now().UnixNano()), i*4096, "")
+		if err != nil {
+			return fmt.Sprintf("key %d: %v", i*4096, err)
+		}
+		if resp.StatusCode != 200 {
+			return fmt.Sprintf("key %d: status %d, %q, %v", i*4096, resp.StatusCode, body, resp.Header)
 		}
 	}
-	return f.eachKeyHeldOnce("prices")
+	if !f.eachKeyHeldOnce("prices") {
+		return "a key is not held once"
+	}
+	return ""
 }
 
 // Guards against a configuration that changes the way of granting keys and leaves
