sidecar/suspects: do not write a lifted quarantine again in a new era

Operators lift a quarantine by deleting its object. In a new era of the store a node writes the objects of its quarantines again, and did so for one that had just been lifted: the change that forgets it was still queued when the end of the era was noticed, or came while the call that writes the object was under way. The request stayed quarantined until the object was deleted once more.

The archive now takes queued changes before each write, and after a write removes the object of a quarantine that was lifted meanwhile, unless another node had created it.

TestLiftedQuarantineIsNotWrittenInANewEra fails on the code before.

--- a/sidecar/suspects/archive.go
+++ b/sidecar/suspects/archive.go
@@ -161,9 +161,7 @@
 				st.unwritten = append(st.unwritten, ObjectName(r.Mark.Fingerprint))
 			}
 		case <-a.requests.Ready():
-			for r, ok := a.requests.Pop(); ok; r, ok = a.requests.Pop() {
-				st.take(ctx, r)
-			}
+			st.takeAll(ctx)
 		}
 		if !st.write(ctx) {
 			retry.Reset(st.delay)
@@ -172,6 +170,13 @@
 	}
 }
 
+// takeAll takes all queued changes.
+func (st *archiving) takeAll(ctx context.Context) {
+	for r, ok := st.requests.Pop(); ok; r, ok = st.requests.Pop() {
+		st.take(ctx, r)
+	}
+}
+
 func (st *archiving) take(ctx context.Context, r archiveRequest) {
 	switch {
 	case r.record != nil:
@@ -188,24 +193,47 @@
 	}
 }
 
-// write writes the records that the store may lack. It returns false if another attempt
-// is due.
+// find returns the index of the kept record of a name, or -1.
+func (st *archiving) find(name string) int {
+	return slices.IndexFunc(st.kept, func(k Record) bool { return ObjectName(k.Mark.Fingerprint) == name })
+}
+
+// write writes the records that the store may lack, but for those that a queued change
+// forgets. It returns false if another attempt is due.
 func (st *archiving) write(ctx context.Context) bool {
-	for len(st.unwritten) > 0 {
+	for {
+		st.takeAll(ctx)
+		if len(st.unwritten) == 0 {
+			return true
+		}
 		name := st.unwritten[0]
-		i := slices.IndexFunc(st.kept, func(k Record) bool { return ObjectName(k.Mark.Fingerprint) == name })
-		if i >= 0 {
-			spec, err := json.Marshal(st.kept[i])
-			if err == nil {
-				_, err = st.cfg.Store.Create(ctx, st.cfg.Kind, name, spec)
-			}
-			// Another node may have quarantined the request at the same time.
-			if err != nil && platform.FaultOf(err) != platform.FaultConflict {
-				st.cfg.Log.WithError(err).WithField("name", name).Warn("writing a quarantine to the platform's store failed; retrying")
-				return false
-			}
+		st.unwritten = st.unwritten[1:]
+		if i := st.find(name); i >= 0 && !st.create(ctx, st.kept[i]) {
+			st.unwritten = slices.Insert(st.unwritten, 0, name)
+			return false
 		}
-		st.unwritten, st.delay = st.unwritten[1:], firstRetryDelay
+		st.delay = firstRetryDelay
+	}
+}
+
+// create creates the object of a record, and removes it again if the quarantine was lifted
+// meanwhile. It returns false if another attempt is due.
+func (st *archiving) create(ctx context.Context, r Record) bool {
+	name := ObjectName(r.Mark.Fingerprint)
+	spec, err := json.Marshal(r)
+	if err == nil {
+		_, err = st.cfg.Store.Create(ctx, st.cfg.Kind, name, spec)
+	}
+	// Another node may have quarantined the request at the same time.
+	existed := platform.FaultOf(err) == platform.FaultConflict
+	st.takeAll(ctx)
+	switch {
+	case st.find(name) < 0 && !existed:
+		err = st.cfg.Store.Delete(ctx, st.cfg.Kind, name)
+		st.cfg.Log.WithError(err).WithField("name", name).Warn("quarantine lifted while it was written to the platform's store; removed again")
+	case err != nil && !existed:
+		st.cfg.Log.WithError(err).WithField("name", name).Warn("writing a quarantine to the platform's store failed; retrying")
+		return false
 	}
 	return true
 }
--- a/sidecar/suspects/suspects_test.go
+++ b/sidecar/suspects/suspects_test.go
@@ -132,6 +132,50 @@
 	must.False(t, store.Has("k", name), must.Sprint("an operator has deleted it"))
 }
 
+// slowStore holds each Create until the test lets it go on.
+type slowStore struct {
+	began   chan string
+	proceed chan struct{}
+	removed chan string
+}
+
+func (s *slowStore) Create(_ context.Context, _, name string, _ json.RawMessage) (platform.Object, error) {
+	s.began <- name
+	<-s.proceed
+	return platform.Object{}, nil
+}
+
+func (s *slowStore) Delete(_ context.Context, _, name string) error {
+	s.removed <- name
+	return nil
+}
+
+// Guards against a lifted quarantine that is written again in a new era, because the
+// archive has not yet taken the change that forgets it, or because the call was under way.
+func TestLiftedQuarantineIsNotWrittenInANewEra(t *testing.T) {
+	store, eras := &slowStore{make(chan string), make(chan struct{}), make(chan string)}, platform.NewEras()
+	a := NewArchive(ArchiveConfig{Kind: "k", Store: store, Eras: eras, Log: discardLog})
+	go a.Run(t.Context())
+	created := func(f suspect.Fingerprint) { must.Eq(t, ObjectName(f), <-store.began) }
+	for f := range suspect.Fingerprint(3) {
+		a.Keep(Record{Mark: suspect.Mark{Fingerprint: f + 1, Quarantined: 5}})
+		created(f + 1)
+		store.proceed <- struct{}{}
+	}
+	eras.Advance(1)
+	created(1)
+	a.Forget(ObjectName(2))
+	store.proceed <- struct{}{}
+	created(3)
+	a.Forget(ObjectName(1))
+	eras.Advance(2)
+	store.proceed <- struct{}{}
+	created(3)
+	a.Forget(ObjectName(3))
+	store.proceed <- struct{}{}
+	must.Eq(t, ObjectName(3), <-store.removed)
+}
+
 // Guards against an object of another writer that quarantines a request, or ends the
 // process.
 func TestOddObjectIsNoQuarantine(t *testing.T) {
