--- a/quota/quota.go
+++ b/quota/quota.go
@@ -85,8 +85,7 @@
 // concurrently with itself.
 type Holding struct {
 	quota *Quota
-	// end is nil once the holding is closed.
-	end   atomic.Pointer[func()]
+	end   func()
 	bytes atomic.Int64
 	// listed is set once the reclaimer was told of the holding.
 	listed, closed atomic.Bool
@@ -98,8 +97,7 @@
 // Open returns a holding without bytes. end ends what it is held for; it is called at
 // most once, on the goroutine of Run, and must not block. It may close the holding.
 func (q *Quota) Open(end func()) *Holding {
-	h := &Holding{quota: q}
-	h.end.Store(&end)
+	h := &Holding{quota: q, end: end}
 	h.Progress()
 	return h
 }
@@ -179,7 +177,6 @@
 // holding when it next looks at it.
 func (h *Holding) Close() {
 	h.closed.Store(true)
-	h.end.Store(nil)
 	h.quota.used.Add(-h.bytes.Swap(0))
 }
 
@@ -266,9 +263,9 @@
 	}
 	for _, c := range chooseStalled(r.clock.Now(), candidates, r.used.Load()-r.limit*reclaimPercent/100) {
 		delete(r.holdings, c.holding)
-		if end := c.holding.end.Load(); end != nil {
+		if !c.holding.closed.Load() {
 			r.counts.ended.Add(1)
-			(*end)()
+			c.holding.end()
 		}
 	}
 }
