sidecar: a node with a duty that hangs is not ready

Nothing named the duty.

A watchdog looks at each ring.

Rings count the elements that were read; the rings of calls' quota and of marks' results have metrics like the others.

--- a/ring/ring.go
+++ b/ring/ring.go
@@ -37,11 +37,11 @@
 
 // Stats holds the length and capacity of one ring, and its counters since its
 // creation. HighWater is the greatest length so far. Pushed counts the elements
-// that were queued or replaced another, Refused those rejected with *FullError,
-// and Dropped those discarded to make room.
+// that were queued or replaced another, Popped those that the consumer has taken,
+// Refused those rejected with *FullError, and Dropped those discarded to make room.
 type Stats struct {
-	Len, Cap, HighWater      int
-	Pushed, Refused, Dropped uint64
+	Len, Cap, HighWater              int
+	Pushed, Popped, Refused, Dropped uint64
 }
 
 // Ring is a bounded first-in, first-out queue with any number of producers and
@@ -189,6 +189,7 @@
 		return zero, false
 	}
 	v := r.popLocked()
+	r.stats.Popped++
 	notify(r.space)
 	if r.count > 0 {
 		notify(r.ready)
--- a/sidecar/http.go
+++ b/sidecar/http.go
@@ -80,7 +80,7 @@
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request, _ []byte) {
 	// A new configuration may set ready at the moment at which the node begins to
 	// stop.
-	if !n.ready.Load() || n.stopping.Load() {
+	if !n.ready.Load() || n.stopping.Load() || n.hungDuties.Load() > 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/sidecar/keys/keys.go
+++ b/sidecar/keys/keys.go
@@ -225,6 +225,9 @@
 // RingStats returns the counters of the controller's ring.
 func (c *Controller) RingStats() ring.Stats { return c.messages.Stats() }
 
+// CallRingStats returns the counters of the ring of calls to the backend server.
+func (c *Controller) CallRingStats() ring.Stats { return c.calls.Stats() }
+
 // push queues a message. It reports whether the message was queued within
 // pushTimeout.
 func (c *Controller) push(ctx context.Context, m message) bool {
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -5,7 +5,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"marjoramshore.example/ring"
 	"marjoramshore.example/shards"
 	"marjoramshore.example/sidecar/router"
 	"marjoramshore.example/telemetry"
@@ -17,6 +16,7 @@
 	answered      metrics.Counter
 	retries       metrics.Counter
 	statusReports metrics.Counter
+	hangs         metrics.Counter
 	latency       metrics.Timer
 	ownerWait     metrics.Timer
 }
@@ -27,6 +27,7 @@
 		answered:      metrics.GetOrRegisterCounter("requests_answered", r),
 		retries:       metrics.GetOrRegisterCounter("requests_repeated", r),
 		statusReports: metrics.GetOrRegisterCounter("status_reports", r),
+		hangs:         metrics.GetOrRegisterCounter("duty_hangs", r),
 		latency:       metrics.GetOrRegisterTimer("request", r),
 		ownerWait:     metrics.GetOrRegisterTimer("request_held", r),
 	}
@@ -86,6 +87,7 @@
 		"requests_quarantined": func() int64 { return n.backend.Counts().Quarantined },
 		"suspects_marked":      func() int64 { marked, _ := n.backend.Suspects(); return marked },
 		"suspects_quarantined": func() int64 { _, quarantined := n.backend.Suspects(); return quarantined },
+		"duties_hung":          n.hungDuties.Load,
 		"evacuations":          func() int64 { return int64(len(*n.evacuations.Load())) },
 		"store_era":            func() int64 { return int64(n.store.Eras().Current()) },
 		"uptime_seconds":       newUptimeGauge(),
@@ -95,18 +97,8 @@
 			return err
 		}
 	}
-	rings := map[string]func() ring.Stats{
-		"configuration":  n.configs.RingStats,
-		"fleet":          n.nodes.RingStats,
-		"announce":       n.announcer.RingStats,
-		"quota":          n.quota.RingStats,
-		"suspect_marks":  n.spreader.RingStats,
-		"quarantines":    n.quarantines.RingStats,
-		"backend_offers": func() ring.Stats { s, _ := n.backend.RingStats(); return s },
-		"backend_events": func() ring.Stats { _, s := n.backend.RingStats(); return s },
-	}
-	for name, f := range rings {
-		if err := telemetry.RegisterRing(m.registry, name, f); err != nil {
+	for _, w := range n.fixedRings() {
+		if err := telemetry.RegisterRing(m.registry, w.Ring, w.Stats); err != nil {
 			return err
 		}
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -109,6 +109,8 @@
 	quota, callQuota *quota.Quota
 	ready            atomic.Bool
 	stopping         atomic.Bool
+	// hungDuties is the number of duties that the watchdog takes for hung.
+	hungDuties atomic.Int64
 
 	outbound, inbound         *frontend.Frontend
 	reportServer, readyServer *httpServer
@@ -291,6 +293,7 @@
 	n.runLoop(n.syncObjects)
 	n.runLoop(n.watchSettings)
 	n.runLoop(n.measureLoad)
+	n.runLoop(n.watchRings)
 	return nil
 }
 
--- a/sidecar/suspects/spread.go
+++ b/sidecar/suspects/spread.go
@@ -88,6 +88,9 @@
 // RingStats returns the counters of the ring of marks.
 func (s *Spreader) RingStats() ring.Stats { return s.batches.Stats() }
 
+// ResultRingStats returns the counters of the ring of ended calls.
+func (s *Spreader) ResultRingStats() ring.Stats { return s.results.Stats() }
+
 // batch is a set of marks to send. Batches are numbered from 1.
 type batch struct {
 	number uint64
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -30,13 +30,14 @@
 func (e *Error) Unwrap() error { return e.Cause }
 
 // RegisterRing registers the counters of a ring as gauges named ring_NAME_len,
-// _cap, _high_water, _pushed, _refused and _dropped. The error is an *Error.
+// _cap, _high_water, _pushed, _popped, _refused and _dropped. The error is an *Error.
 func RegisterRing(r metrics.Registry, name string, stats func() ring.Stats) error {
 	for suffix, value := range map[string]func(ring.Stats) int64{
 		"len":        func(s ring.Stats) int64 { return int64(s.Len) },
 		"cap":        func(s ring.Stats) int64 { return int64(s.Cap) },
 		"high_water": func(s ring.Stats) int64 { return int64(s.HighWater) },
 		"pushed":     func(s ring.Stats) int64 { return int64(s.Pushed) },
+		"popped":     func(s ring.Stats) int64 { return int64(s.Popped) },
 		"refused":    func(s ring.Stats) int64 { return int64(s.Refused) },
 		"dropped":    func(s ring.Stats) int64 { return int64(s.Dropped) },
 	} {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -152,6 +152,8 @@
 ring_store_high_water 1
 # TYPE ring_store_len gauge
 ring_store_len 1
+# TYPE ring_store_popped gauge
+ring_store_popped 0
 # TYPE ring_store_pushed gauge
 ring_store_pushed 1
 # TYPE ring_store_refused gauge
