sidecar: ignore a late leave of a former run of the same name

Callers would see: a backend server that was just started gets no requests until it is started again, because the call by which its former run deregistered arrives after its first report. The call was read without its start ("born").

The start is read where the call tells it, and a leave of an earlier run is ignored. Then the call is late if the former run had the same name and had not deregistered, and the caller has closed its connection, as the end of a process does; the present run waits for its answer. Such a call takes 50 ms more, to learn of the close.

What remains: of two such calls of a name of which the node knows no run, the later start cannot be told, and the one that comes first after a start of the node covers every start until then.

TestLateLeaveOfAFormerRunIsIgnored fails on the code before.

--- a/sidecar/backend/departures.go
+++ b/sidecar/backend/departures.go
@@ -92,17 +92,21 @@
 	return st.record(d)
 }
 
-// recordUnknown records the departure of a run of which only the name is known.
-func (st *state) recordUnknown(instance string) *ring.Reply[struct{}] {
+// recordUnknown records the departure of a run that has not reported, of which the start
+// may be unknown.
+func (st *state) recordUnknown(l Leave) *ring.Reply[struct{}] {
 	for _, d := range st.departures {
-		if d.Instance == instance {
+		if d.Covers(l.Instance, l.BornUnixMs) {
 			return st.record(d)
 		}
 	}
 	now := time.Now().UnixMilli()
-	d := fleet.Departure{Instance: instance, BornUnixMs: now, LeftUnixMs: now}
+	d := fleet.Departure{Instance: l.Instance, BornUnixMs: now, LeftUnixMs: now}
+	if l.BornUnixMs > 0 {
+		d.BornUnixMs = l.BornUnixMs
+	}
 	st.departures = fleet.AddDepartures(st.departures, d)
-	st.cfg.Log.WithFields(log.Fields{"instance": instance, "present": st.run.Holder.Instance}).Info("run of the backend server that has not reported to this process has left")
+	st.cfg.Log.WithFields(log.Fields{"instance": l.Instance, "born": l.BornUnixMs, "present": st.run.Holder.Instance}).Info("run of the backend server that has not reported to this process has left")
 	return st.record(d)
 }
 
--- a/sidecar/backend/departures_test.go
+++ b/sidecar/backend/departures_test.go
@@ -98,17 +98,17 @@
 	born := time.Now().Add(-time.Minute).UnixMilli()
 	for name, leave := range map[string]func(*restartableProxy){
 		"deregistered": func(p *restartableProxy) {
-			_, ok := p.HandleLeave(t.Context(), "i")
+			_, ok := p.HandleLeave(t.Context(), Leave{Instance: "i"})
 			must.True(t, ok)
 		},
 		"draining": func(p *restartableProxy) { p.report(t, "i", born, 2, true) },
 		"deregistered before any report": func(p *restartableProxy) {
-			_, ok := p.HandleLeave(t.Context(), "i")
+			_, ok := p.HandleLeave(t.Context(), Leave{Instance: "i"})
 			must.True(t, ok)
 		},
 		"deregistered, then told again": func(p *restartableProxy) {
 			for range 3 {
-				_, ok := p.HandleLeave(t.Context(), "i")
+				_, ok := p.HandleLeave(t.Context(), Leave{Instance: "i"})
 				must.True(t, ok)
 			}
 		},
@@ -192,7 +192,7 @@
 	p.SetFormerDepartures(nil)
 	p.report(t, "i", 5, 1, false)
 	began := time.Now()
-	ack, ok := p.HandleLeave(t.Context(), "i")
+	ack, ok := p.HandleLeave(t.Context(), Leave{Instance: "i"})
 	must.True(t, ok && ack.OK)
 	must.Between(t, keepTimeout, time.Since(began), keepTimeout+300*time.Millisecond)
 	must.True(t, p.run.Load().Leaving)
--- a/sidecar/backend/duty.go
+++ b/sidecar/backend/duty.go
@@ -93,8 +93,8 @@
 
 // leaveCall is the call by which a run of the backend server deregisters.
 type leaveCall struct {
-	instance string
-	reply    ring.Reply[Ack]
+	Leave
+	reply ring.Reply[Ack]
 }
 
 // Ack is the answer to a call of the backend server.
@@ -134,6 +134,9 @@
 	evacuation   evacuation
 	lastSequence int64
 	lastReport   clock.Instant
+	// deregistered is set once the present run has deregistered. formerMayLeave is set
+	// while the former run had the same name and had not.
+	deregistered, formerMayLeave bool
 	// silent is set while reports of the run are missing.
 	silent bool
 	// refusedDials counts the connections refused in a row.
--- a/sidecar/backend/lateleave_test.go
+++ b/sidecar/backend/lateleave_test.go
@@ -13,7 +13,7 @@
 func TestLateReportAfterALeaveIsNotReady(t *testing.T) {
 	for name, leave := range map[string]func(*testing.T, *Proxy, platform.StatusReport){
 		"call": func(t *testing.T, p *Proxy, r platform.StatusReport) {
-			_, ok := p.HandleLeave(t.Context(), r.Instance)
+			_, ok := p.HandleLeave(t.Context(), Leave{Instance: r.Instance})
 			must.True(t, ok)
 		},
 		"report": func(t *testing.T, p *Proxy, r platform.StatusReport) {
--- a/sidecar/backend/report.go
+++ b/sidecar/backend/report.go
@@ -41,11 +41,21 @@
 	return shards.Holder{Node: p.cfg.Node, Instance: r.Instance, Born: r.StartedUnixMs}
 }
 
+// Leave is the call by which a run deregisters.
+type Leave struct {
+	Instance string
+	// BornUnixMs is the start of the run, or 0 if the call does not tell it.
+	BornUnixMs int64
+	// CallerGone is set if the caller has closed its connection without waiting for the
+	// answer.
+	CallerGone bool
+}
+
 // HandleLeave takes in the call by which a run deregisters. It returns false if
 // there is no answer before ctx ends.
-func (p *Proxy) HandleLeave(ctx context.Context, instance string) (Ack, bool) {
+func (p *Proxy) HandleLeave(ctx context.Context, l Leave) (Ack, bool) {
 	reply := ring.NewReply[Ack]()
-	if p.events.Push(ctx, leaveCall{instance, reply}) != nil {
+	if p.events.Push(ctx, leaveCall{l, reply}) != nil {
 		return Ack{}, false
 	}
 	return p.waitKept(ctx, reply)
@@ -144,6 +154,8 @@
 	st.setCold(0)
 	st.run = Run{Holder: h, Slots: r.Slots}
 	st.noteCold(r.WarmupRemaining)
+	st.formerMayLeave = former.Instance == h.Instance && !st.deregistered
+	st.deregistered = false
 	st.runAdded, st.runReports = false, 0
 	st.sendDeadline.Store(0)
 	st.queue.ResetServiceTimes()
@@ -186,15 +198,34 @@
 
 func (m leaveCall) apply(st *state) {
 	ack := Ack{OK: true}
-	if m.instance == st.run.Holder.Instance {
+	switch {
+	case st.isLate(m.Leave):
+		st.cfg.Log.WithFields(log.Fields{"instance": m.Instance, "born": m.BornUnixMs, "present": st.run.Holder.Born, "caller_gone": m.CallerGone}).
+			Info("leave ignored: it comes from an earlier run of the backend server")
+	case m.Instance == st.run.Holder.Instance && m.BornUnixMs <= st.run.Holder.Born:
+		st.deregistered = true
 		st.beginDrain("deregistered")
 		ack.kept = st.recordDeparture()
-	} else {
-		ack.kept = st.recordUnknown(m.instance)
+	default:
+		ack.kept = st.recordUnknown(m.Leave)
 	}
 	m.reply.Send(ack)
 }
 
+// isLate reports whether a leave is that of an earlier run with the name of the present
+// one. If the call does not tell the start of its run, it is late if the former run has
+// not deregistered yet and the caller is gone, as after the end of its process. The
+// present run waits for the answer.
+func (st *state) isLate(l Leave) bool {
+	switch {
+	case l.Instance != st.run.Holder.Instance:
+		return false
+	case l.BornUnixMs > 0:
+		return l.BornUnixMs < st.run.Holder.Born
+	}
+	return l.CallerGone && st.formerMayLeave
+}
+
 // SendDeadline returns the instant from which no requests may be sent to the
 // present run, or 0 if there is none.
 func (p *Proxy) SendDeadline() clock.Instant { return clock.Instant(p.sendDeadline.Load()) }
--- a/sidecar/departures_test.go
+++ b/sidecar/departures_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -92,6 +93,32 @@
 	f.waitFor("the next run gets no requests", time.Second, f.served)
 }
 
+// Guards against a run that counts as leaving, and gets no requests any more, because the
+// call by which its former run deregistered arrives late: after the former run has ended,
+// and after the first report of the next one, which has the same name.
+func TestLateLeaveOfAFormerRunIsIgnored(t *testing.T) {
+	f := startLeaver(t)
+	born := time.Now().UnixMilli()
+	f.report(born, 1)
+	f.waitFor("the backend server gets no requests", 2*time.Second, f.served)
+	conn, err := net.Dial("tcp", f.settings[2].ReportAddress)
+	must.NoError(t, err)
+	_, err = io.WriteString(conn, "POST /instances/i-leaver/deregister HTTP/1.1\r\nHost: node\r\n")
+	must.NoError(t, err)
+	f.report(born+1, 1)
+	_, err = io.WriteString(conn, "Content-Length: 0\r\n\r\n")
+	must.NoError(t, err)
+	must.NoError(t, conn.Close())
+	time.Sleep(500 * time.Millisecond) // beacons are sent at once
+	must.True(t, f.served(), must.Sprint("the call does not tell the start of its run"))
+	must.Eq(t, http.StatusOK, f.postControl(2, "i-leaver", "deregister", fmt.Sprintf(`{"born":%d}`, born)))
+	time.Sleep(500 * time.Millisecond)
+	must.True(t, f.served(), must.Sprint("the call tells the start of its run"))
+
+	must.Eq(t, http.StatusOK, f.postControl(2, "i-leaver", "deregister", ""))
+	f.waitFor("the present run, which waits for the answer, is not taken to leave", 5*time.Second, func() bool { return !f.served() })
+}
+
 // Guards against a backend server that has deregistered and gets requests again from
 // the node beside it, because that was started anew and the store has gone back to a
 // copy without the leave. The other nodes know of it.
--- a/sidecar/http.go
+++ b/sidecar/http.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"marjoramshore.example/platform"
+	"marjoramshore.example/sidecar/backend"
 	"marjoramshore.example/telemetry"
 )
 
@@ -24,6 +25,9 @@
 	// server waits for a second.
 	reportTimeout     = 700 * time.Millisecond
 	serverIdleTimeout = time.Minute
+	// callerGoneWait is how long a call that tells no start of its run waits for the end
+	// of its connection. The backend server waits for a second.
+	callerGoneWait = 50 * time.Millisecond
 	// serverReadTimeout bounds the time to read a request, and to write its
 	// answer.
 	serverReadTimeout = 10 * time.Second
@@ -96,7 +100,11 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), reportTimeout)
 	defer cancel()
 	if action == platform.ActionDeregister {
-		if _, ok := n.backend.HandleLeave(ctx, instance); !ok {
+		leave := backend.Leave{Instance: instance, BornUnixMs: platform.DecodeLeave(body)}
+		if leave.BornUnixMs == 0 {
+			leave.CallerGone = isCallerGone(r)
+		}
+		if _, ok := n.backend.HandleLeave(ctx, leave); !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -115,3 +123,16 @@
 	}
 	n.answerReport(w, report, ack.Sharded, &ack.Grant)
 }
+
+// isCallerGone reports whether the caller of a request that was read whole has closed its
+// connection. It waits a little, since net/http learns of that on another goroutine.
+func isCallerGone(r *http.Request) bool {
+	t := time.NewTimer(callerGoneWait)
+	defer t.Stop()
+	select {
+	case <-r.Context().Done():
+		return true
+	case <-t.C:
+		return false
+	}
+}
