--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -3,6 +3,7 @@
 package crowd
 
 import (
+	"flag"
 	"fmt"
 	"net"
 	"strings"
@@ -25,6 +26,9 @@
 	sendTimeout = 15 * time.Second
 )
 
+// connections is the number of connections of each crowd, or 0 for those that CI uses.
+var connections = flag.Int("connections", 0, "connections of each crowd")
+
 // part is a text that a client sends a number of times.
 type part struct {
 	text  string
@@ -95,6 +99,17 @@
 	{"calls between nodes", wire.PortPeers, crowdSize, func(int) []part {
 		return []part{{"POST /marjoramshore.peers.v1.Peers/Report HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: 1000000\r\n\r\n", 1}, {strings.Repeat("x", 1000), 999}}
 	}},
+	{"requests behind a slow one", wire.PortOutbound, crowdSize, func(s int) []part {
+		const look = "GET /look/%d HTTP/1.1\r\nHost: " + host + "\r\n" + wire.HeaderAttemptID + ": crowd-%d-%d\r\n\r\n"
+		parts := append(sized(s, 64<<10), part{strings.Repeat("x", 16<<10), 1})
+		for i := range 30 {
+			parts = append(parts, part{fmt.Sprintf(look, i, s, i), 1})
+		}
+		return parts
+	}},
+	{"head that HTTP forbids", wire.PortOutbound, crowdSize, func(s int) []part {
+		return []part{{"GET a: HTTP/1.1\r\n\r\n", 1}, {requestHead(s) + "a\x00b: x\r\n\r\n", 1000}}
+	}},
 	{"connections", wire.PortOutbound, connectCrowd, func(int) []part { return nil }},
 	{"connections between nodes", wire.PortInbound, connectCrowd, func(int) []part { return nil }},
 	{"connections for reports", wire.PortReports, connectCrowd, func(int) []part { return nil }},
@@ -106,6 +121,9 @@
 func TestCrowds(t *testing.T) {
 	for _, c := range classes {
 		t.Run(c.name, func(t *testing.T) {
+			if *connections > 0 {
+				c.size = *connections / 2
+			}
 			f := startFleet(t)
 			var clients sync.WaitGroup
 			conns := make([]net.Conn, 0, 2*c.size)
