cli, sidecar: let the Go runtime keep to the memory of the VM

The runtime is told two thirds of the memory as its limit, beyond which it collects at once. A process with less in use collects as before.

--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		return o.fail(exitUsage, err)
 	}
+	debug.SetMemoryLimit(sidecar.RuntimeMemory(settings))
 	if metricsAddr != "" && metricsAddr[0] == ':' {
 		metricsAddr = settings.IP + metricsAddr
 	}
--- a/sidecar/limits.go
+++ b/sidecar/limits.go
@@ -40,8 +40,22 @@
 	// other nodes.
 	callQuotaDivisor = 16
 	minConns         = 8
+	// runtimePercent is the part of the memory that the Go runtime may use before it
+	// collects garbage without waiting for the heap to grow. The rest is for the program
+	// itself and for what is allocated during a collection.
+	runtimePercent = 66
 )
 
+// RuntimeMemory returns the number of bytes beyond which the Go runtime is to collect
+// garbage at once.
+func RuntimeMemory(s platform.Settings) int64 {
+	memoryMB := s.MemoryMB
+	if memoryMB <= 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return int64(memoryMB * (1 << 20) * runtimePercent / 100)
+}
+
 // limits bound what others make a process hold, by the limits of the VM.
 type limits struct {
 	callerConns, inboundConns, peerConns, platformConns int
